--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,91 @@
+// The daemon: reads its settings, wires the layers together and runs until it is ended.
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+
+#include "app/settings.h"
+#include "coordination/controller.h"
+#include "transport/http_server.h"
+#include "transport/tcp_network.h"
+
+namespace {
+
+using namespace fawnwheel;
+
+constexpr int exitSettings = 2;
+// Of the sockets, what users and workers may take; the rest is for peers, state and cloud.
+constexpr double frontShareOfSockets = 0.7;
+
+void setUpLogging() {
+    auto logger = spdlog::stderr_logger_st("fawnwheel");
+    spdlog::set_default_logger(logger);
+    spdlog::set_pattern("%L %v");
+    const char* level = std::getenv("LOG_LEVEL");
+    const std::string word = level == nullptr ? "info" : level;
+    spdlog::set_level(word == "debug"   ? spdlog::level::debug
+                      : word == "error" ? spdlog::level::err
+                                        : spdlog::level::info);
+    spdlog::flush_on(spdlog::level::info);
+}
+
+int serve(const app::Settings& settings, const app::OperatorSettings& tuning) {
+    transport::Loop loop;
+    std::map<std::string, std::string> peers;
+    for (const auto& peer : settings.peers) peers[peer.name] = peer.address;
+    coordination::Controller* controller = nullptr;
+    transport::TcpNetwork network(loop, settings.internalAddress, peers,
+                                  [&controller](const std::string& payload) {
+                                      if (controller != nullptr) controller->onFrame(payload);
+                                  });
+    coordination::Controller service(settings, tuning, loop, network, std::random_device{}());
+    controller = &service;
+    const auto connections =
+        static_cast<std::size_t>(static_cast<double>(settings.sockets) * frontShareOfSockets);
+    const transport::HttpServer front(
+        loop, settings.front, connections,
+        [&service](const transport::HttpRequest& request, transport::HttpReply reply) {
+            service.onRequest(request, std::move(reply));
+        });
+    spdlog::info("fawnwheel {} serves on {} as {}", FAWNWHEEL_VERSION, settings.front,
+                 settings.name);
+    service.start();
+    loop.run();
+    return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App options("fawnwheeld: a cluster scheduler's controller");
+    std::string configFile;
+    std::string operatorFile;
+    bool checkOnly = false;
+    options.add_option("--config", configFile, "the platform's settings (JSON)")->required();
+    options.add_option("--operator", operatorFile, "the operators' settings (INI)");
+    options.add_flag("--check", checkOnly, "read the settings and end");
+    options.set_version_flag("--version", std::string("fawnwheeld ") + FAWNWHEEL_VERSION);
+    try {
+        options.parse(argc, argv);
+    } catch (const CLI::ParseError& error) {
+        const int code = options.exit(error);
+        return code == 0 ? 0 : exitSettings;
+    }
+    try {
+        setUpLogging();
+        const auto settings = app::loadSettings(configFile);
+        const auto tuning = operatorFile.empty() ? app::OperatorSettings{}
+                                                 : app::loadOperatorSettings(operatorFile);
+        if (checkOnly) return 0;
+        return serve(settings, tuning);
+    } catch (const app::SettingsError& error) {
+        std::cerr << "fawnwheeld: " << error.what() << '\n';
+        return exitSettings;
+    } catch (const std::exception& error) {
+        std::cerr << "fawnwheeld: " << error.what() << '\n';
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/app/settings.cpp
@@ -0,0 +1,171 @@
+#include "app/settings.h"
+
+#include <algorithm>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+
+namespace fawnwheel::app {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string whole(const std::string& path) {
+    std::ifstream file(path);
+    if (!file) throw SettingsError(path + ": can't be read");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+// One map of the file; names fields by their full path in errors.
+class Section {
+  public:
+    Section(const Json& map, std::string path) : map_(map), path_(std::move(path)) {
+        if (!map_.is_object()) throw SettingsError(path_ + ": must be a map");
+    }
+    [[nodiscard]] std::string text(const char* field) const {
+        const Json& value = required(field);
+        if (!value.is_string() || value.get_ref<const std::string&>().empty())
+            throw SettingsError(name(field) + ": must be a text");
+        return value.get<std::string>();
+    }
+    void number(const char* field, double& out, double least) const {
+        const Json* value = optional(field);
+        if (value == nullptr) return;
+        if (!value->is_number() || !(value->get<double>() >= least))
+            throw SettingsError(name(field) + ": must be a number of at least " +
+                                Json(least).dump());
+        out = value->get<double>();
+    }
+    void seconds(const char* field, Seconds& out) const {
+        double value = out.count();
+        number(field, value, 0.001);
+        out = Seconds(value);
+    }
+    void count(const char* field, std::size_t& out) const {
+        auto value = static_cast<double>(out);
+        number(field, value, 1);
+        out = static_cast<std::size_t>(value);
+    }
+    [[nodiscard]] Section section(const char* field) const {
+        static const Json empty = Json::object();
+        const Json* value = optional(field);
+        return {value == nullptr ? empty : *value, name(field)};
+    }
+    [[nodiscard]] std::vector<Section> list(const char* field) const {
+        std::vector<Section> out;
+        const Json* value = optional(field);
+        if (value == nullptr) return out;
+        if (!value->is_array()) throw SettingsError(name(field) + ": must be a list");
+        for (std::size_t i = 0; i < value->size(); ++i)
+            out.emplace_back((*value)[i], name(field) + "[" + std::to_string(i) + "]");
+        return out;
+    }
+
+  private:
+    [[nodiscard]] const Json* optional(const char* field) const {
+        const auto found = map_.find(field);
+        return found == map_.end() || found->is_null() ? nullptr : &*found;
+    }
+    [[nodiscard]] const Json& required(const char* field) const {
+        const Json* value = optional(field);
+        if (value == nullptr) throw SettingsError(name(field) + ": is missing");
+        return *value;
+    }
+    [[nodiscard]] std::string name(const char* field) const {
+        return path_.empty() ? field : path_ + "." + field;
+    }
+
+    const Json& map_;
+    std::string path_;
+};
+
+ObjectiveKind objectiveKind(const std::string& word) {
+    if (word == "wait") return ObjectiveKind::wait;
+    if (word == "finished") return ObjectiveKind::finished;
+    if (word == "deadline") return ObjectiveKind::deadline;
+    return ObjectiveKind::other;
+}
+
+}  // namespace
+
+std::vector<std::string> Settings::nodeNames() const {
+    std::vector<std::string> names{name};
+    for (const auto& peer : peers) names.push_back(peer.name);
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+std::string Settings::zoneOf(const std::string& node) const {
+    if (node == name) return zone;
+    for (const auto& peer : peers)
+        if (peer.name == node) return peer.zone;
+    return {};
+}
+
+Settings parseSettings(const std::string& json) {
+    const Json root = Json::parse(json, nullptr, false);
+    if (root.is_discarded()) throw SettingsError("settings: not JSON");
+    const Section top(root, "");
+    Settings s;
+    s.name = top.text("host_name");
+    s.zone = top.text("area");
+    s.front = top.text("front");
+    s.internalAddress = top.text("internal_addr");
+    for (const auto& peer : top.list("others"))
+        s.peers.push_back({peer.text("host_name"), peer.text("area"), peer.text("address")});
+    const Section outside = top.section("outside");
+    s.cloud = outside.text("cloud");
+    s.state = outside.text("state");
+    const Section deployment = top.section("deployment");
+    for (const auto& entry : deployment.list("teams")) {
+        Team team;
+        team.name = entry.text("name");
+        entry.number("cpus", team.cpus, 0);
+        entry.number("gpus", team.gpus, 0);
+        entry.number("cpus_max", team.cpusMax, 0);
+        entry.number("gpus_max", team.gpusMax, 0);
+        s.teams.push_back(team);
+    }
+    for (const auto& entry : deployment.list("objectives")) {
+        Objective objective;
+        objective.kind = objectiveKind(entry.text("kind"));
+        if (objective.kind == ObjectiveKind::other) continue;
+        objective.jobClass = entry.text("class");
+        if (objective.kind != ObjectiveKind::deadline) entry.seconds("within_s", objective.within);
+        entry.number("share", objective.share, 0);
+        s.objectives.push_back(objective);
+    }
+    const Section workers = deployment.section("workers");
+    workers.seconds("report_s", s.report);
+    workers.seconds("lease_s", s.lease);
+    workers.seconds("gang_wait_s", s.gangWait);
+    workers.seconds("gang_peer_s", s.gangPeer);
+    workers.seconds("cancel_s", s.cancel);
+    const Section state = deployment.section("state");
+    state.number("rps", s.stateRequests, 1);
+    state.number("write_rps", s.stateWrites, 1);
+    state.number("value_kb", s.valueKb, 1);
+    state.count("txn_ops", s.transactionChanges);
+    const Section cloud = deployment.section("cloud");
+    cloud.number("rps", s.cloudCalls, 0.01);
+    cloud.seconds("list_lag_s", s.listLag);
+    const Section limits = deployment.section("machine_limits");
+    limits.number("core_share", s.coreShare, 0.001);
+    limits.number("mem_mb", s.memoryMb, 1);
+    limits.count("sockets", s.sockets);
+    return s;
+}
+
+Settings loadSettings(const std::string& path) {
+    return parseSettings(whole(path));
+}
+
+OperatorSettings loadOperatorSettings(const std::string& path) {
+    return parseOperatorSettings(whole(path));
+}
+
+}  // namespace fawnwheel::app
--- /dev/null
+++ b/src/app/settings.h
@@ -0,0 +1,94 @@
+// The platform's settings file (JSON) and the operators' own (INI).
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace fawnwheel::app {
+
+// The message names the field.
+struct SettingsError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+using Seconds = std::chrono::duration<double>;
+
+struct Peer {
+    std::string name;
+    std::string zone;
+    std::string address;
+};
+
+struct Team {
+    std::string name;
+    double cpus = 0;  // guaranteed
+    double gpus = 0;
+    double cpusMax = 0;  // 0: no limit
+    double gpusMax = 0;
+};
+
+enum class ObjectiveKind { wait, finished, deadline, other };
+
+struct Objective {
+    ObjectiveKind kind = ObjectiveKind::other;
+    std::string jobClass;
+    Seconds within{};
+    double share = 0;
+};
+
+struct Settings {
+    std::string name;
+    std::string zone;
+    std::string front;
+    std::string internalAddress;
+    std::vector<Peer> peers;
+    std::string cloud;
+    std::string state;
+    std::vector<Team> teams;
+    std::vector<Objective> objectives;
+    Seconds report{3};
+    Seconds lease{30};
+    Seconds gangWait{30};
+    Seconds gangPeer{4};
+    Seconds cancel{60};
+    double stateRequests = 60;
+    double stateWrites = 20;
+    double valueKb = 4;
+    std::size_t transactionChanges = 12;
+    double cloudCalls = 2;
+    Seconds listLag{5};
+    double coreShare = 1;
+    double memoryMb = 128;
+    std::size_t sockets = 1000;
+
+    // All nodes in one order that every node agrees on; a part has the number of the node that
+    // it belongs to by nature.
+    [[nodiscard]] std::vector<std::string> nodeNames() const;
+    [[nodiscard]] std::string zoneOf(const std::string& node) const;
+};
+
+Settings loadSettings(const std::string& path);
+Settings parseSettings(const std::string& json);
+
+// What operators may tune. Every value has a default that serves.
+struct OperatorSettings {
+    // [moves]: DESIGN's open values
+    Seconds samplePeriod{2};
+    double low = 20;
+    double high = 200;
+    double probability = 0.1;
+    double weight = 0.2;
+    // [machines]
+    Seconds idleBeforeReturn{45};
+    bool useSpot = true;
+    // [leadership]
+    Seconds nodeLease{4};
+};
+
+OperatorSettings loadOperatorSettings(const std::string& path);
+OperatorSettings parseOperatorSettings(const std::string& text);
+
+}  // namespace fawnwheel::app
--- /dev/null
+++ b/src/bookkeeping/ledger.cpp
@@ -0,0 +1,157 @@
+#include "bookkeeping/ledger.h"
+
+#include <algorithm>
+
+namespace fawnwheel::bookkeeping {
+
+Claim* Slice::claimOf(std::uint32_t task) {
+    const auto found = std::find_if(claims.begin(), claims.end(),
+                                    [task](const Claim& c) { return c.task == task; });
+    return found == claims.end() ? nullptr : &*found;
+}
+
+void Slice::markDone(std::uint32_t task) {
+    const auto at = task - first;
+    if (at >= done.size() || done[at]) return;
+    done[at] = true;
+    ++doneCount;
+}
+
+bool Job::complete() const {
+    return spec.kind != protocol::JobKind::service &&
+           std::all_of(slices.begin(), slices.end(), [](const Slice& s) { return s.complete(); });
+}
+
+bool Job::anyClaim() const {
+    return std::any_of(slices.begin(), slices.end(),
+                       [](const Slice& s) { return !s.claims.empty(); });
+}
+
+std::uint32_t Job::doneTasks() const {
+    std::uint32_t total = 0;
+    for (const auto& slice : slices) total += slice.doneCount;
+    return total;
+}
+
+std::uint32_t Job::claimedTasks() const {
+    std::size_t total = 0;
+    for (const auto& slice : slices) total += slice.claims.size();
+    return static_cast<std::uint32_t>(total);
+}
+
+Slice* Job::sliceOf(std::uint32_t task) {
+    const auto at = task / sliceSize;
+    return task < spec.tasks && at < slices.size() ? &slices[at] : nullptr;
+}
+
+bool Job::undivided() const {
+    return spec.kind == protocol::JobKind::gang || spec.oneZone || spec.spread;
+}
+
+std::vector<Slice> makeSlices(const JobSpec& spec, std::uint32_t sliceSize, std::uint32_t part) {
+    std::vector<Slice> slices;
+    for (std::uint32_t first = 0; first < spec.tasks; first += sliceSize) {
+        Slice slice;
+        slice.index = static_cast<std::uint32_t>(slices.size());
+        slice.first = first;
+        slice.part = part;
+        slice.done.assign(std::min(sliceSize, spec.tasks - first), false);
+        slices.push_back(std::move(slice));
+    }
+    return slices;
+}
+
+Job* Ledger::job(const std::string& id) {
+    const auto found = jobs.find(id);
+    return found == jobs.end() ? nullptr : &found->second;
+}
+
+Machine* Ledger::machine(const std::string& id) {
+    const auto found = machines.find(id);
+    return found == machines.end() ? nullptr : &found->second;
+}
+
+void Ledger::attach(const Job& job, const Claim& claim) {
+    Machine* m = machine(claim.machine);
+    if (m == nullptr) return;
+    m->claims.push_back({job.spec.id, claim.task, claim.attempt});
+    m->used += job.spec.each;
+}
+
+void Ledger::detach(const Job& job, const Claim& claim) {
+    Machine* m = machine(claim.machine);
+    if (m == nullptr) return;
+    if (std::erase(m->claims, TaskRef{job.spec.id, claim.task, claim.attempt}) == 0) return;
+    m->used -= job.spec.each;
+    if (m->claims.empty()) m->used = {};
+}
+
+void Ledger::addClaim(Job& job, Slice& slice, Claim claim) {
+    attach(job, claim);
+    slice.claims.push_back(std::move(claim));
+    slice.dirty = true;
+}
+
+void Ledger::removeClaim(Job& job, Slice& slice, std::uint32_t task) {
+    const Claim* claim = slice.claimOf(task);
+    if (claim == nullptr) return;
+    detach(job, *claim);
+    std::erase_if(slice.claims, [task](const Claim& c) { return c.task == task; });
+    slice.dirty = true;
+}
+
+void Ledger::dropJob(const std::string& id) {
+    Job* found = job(id);
+    if (found == nullptr) return;
+    for (const auto& slice : found->slices)
+        for (const auto& claim : slice.claims) detach(*found, claim);
+    jobs.erase(id);
+}
+
+void Ledger::dropMachine(const std::string& id) {
+    machines.erase(id);
+}
+
+void Ledger::replaceSlice(Job& job, Slice& slice, std::uint32_t part, std::vector<bool> done,
+                          std::vector<Claim> claims) {
+    for (auto& claim : claims) {
+        claim.durable = true;
+        if (const Claim* old = slice.claimOf(claim.task);
+            old != nullptr && old->attempt == claim.attempt && old->machine == claim.machine) {
+            claim = *old;
+            claim.durable = true;
+        }
+    }
+    for (const auto& claim : slice.claims) detach(job, claim);
+    slice.part = part;
+    slice.done = std::move(done);
+    slice.doneCount =
+        static_cast<std::uint32_t>(std::count(slice.done.begin(), slice.done.end(), true));
+    slice.claims = std::move(claims);
+    for (const auto& claim : slice.claims) attach(job, claim);
+    slice.dirty = false;
+}
+
+void Ledger::rebuildClaims() {
+    for (auto& [id, m] : machines) {
+        m.claims.clear();
+        m.used = {};
+    }
+    for (const auto& [id, j] : jobs)
+        for (const auto& slice : j.slices)
+            for (const auto& claim : slice.claims) attach(j, claim);
+}
+
+Resources Ledger::usedBy(const std::string& team, std::uint32_t part) const {
+    Resources total;
+    for (const auto& [id, j] : jobs) {
+        if (j.spec.team != team) continue;
+        for (const auto& slice : j.slices) {
+            if (slice.part != part) continue;
+            for (std::size_t i = 0; i < slice.claims.size(); ++i) total += j.spec.each;
+        }
+    }
+    return total;
+}
+
+}  // namespace fawnwheel::bookkeeping
--- /dev/null
+++ b/src/bookkeeping/ledger.h
@@ -0,0 +1,166 @@
+// What this process knows of the cluster: the mirror of the durable records, and beside it what
+// it has learnt from workers and the cloud about machines it owns.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "protocol/messages.h"
+#include "transport/interfaces.h"
+
+namespace fawnwheel::bookkeeping {
+
+using protocol::JobSpec;
+using protocol::Resources;
+using protocol::Seconds;
+using transport::SteadyTime;
+
+// A task's place: durable before its start is sent, until there is proof that the task is gone.
+struct Claim {
+    std::uint32_t task = 0;
+    std::string machine;
+    std::uint64_t attempt = 0;
+    // What follows is not durable.
+    bool durable = false;
+    bool giveUp = false;               // don't start it any more; wait for the proof
+    bool seen = false;                 // reported at least once
+    std::optional<Seconds> stopGrace;  // to be stopped, with this much time to save
+    protocol::TaskState state = protocol::TaskState::fetching;
+    SteadyTime made{};
+    std::optional<SteadyTime> ran;  // first reported as running
+};
+
+// A run of tasks of one job that has one owner.
+struct Slice {
+    std::uint32_t index = 0;
+    std::uint32_t first = 0;  // task
+    std::uint32_t part = 0;
+    std::vector<bool> done;
+    std::uint32_t doneCount = 0;
+    std::vector<Claim> claims;
+    std::uint64_t version = 0;  // 0: no record; as in the job's record
+    bool dirty = false;
+    bool leaving = false;  // being pushed to a peer: not to be placed here
+
+    [[nodiscard]] bool complete() const { return doneCount == done.size(); }
+    [[nodiscard]] bool untouched() const { return claims.empty() && doneCount == 0; }
+    [[nodiscard]] Claim* claimOf(std::uint32_t task);
+    void markDone(std::uint32_t task);
+};
+
+struct Job {
+    JobSpec spec;
+    std::uint32_t part = 0;  // home: sees the job through
+    bool cancelled = false;
+    transport::WallTime submitted;
+    std::uint32_t sliceSize = 1;
+    std::uint64_t version = 0;
+    std::vector<Slice> slices;
+    // Not durable.
+    bool finishing = false;
+    SteadyTime notBefore{};  // backing off
+    int failures = 0;
+    std::set<std::string> failedOn;
+
+    [[nodiscard]] bool complete() const;
+    [[nodiscard]] bool anyClaim() const;
+    [[nodiscard]] std::uint32_t doneTasks() const;
+    [[nodiscard]] std::uint32_t claimedTasks() const;
+    [[nodiscard]] Slice* sliceOf(std::uint32_t task);
+    // Gangs and jobs whose tasks' zones depend on one another have one owner.
+    [[nodiscard]] bool undivided() const;
+};
+
+struct TaskRef {
+    std::string job;
+    std::uint32_t task = 0;
+    std::uint64_t attempt = 0;
+    bool operator==(const TaskRef&) const = default;
+};
+
+struct CachedImage {
+    std::string name;
+    double size = 0;  // GB
+};
+
+struct Machine {
+    std::string id;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    std::uint32_t part = 0;
+    bool retired = false;  // a release was or will be sent: never gets work again
+    std::uint64_t version = 0;
+
+    // Not durable: learnt from reports and lists.
+    std::string address;
+    std::uint64_t session = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t tokenSeen = 0;
+    std::optional<SteadyTime> heard;  // last newer report, by this process as its owner
+    SteadyTime silentSince{};         // leases can't have been renewed after this
+    SteadyTime known{};               // when this process first knew of it
+    SteadyTime idleSince{};
+    SteadyTime notBefore{};                // no new work before
+    std::optional<SteadyTime> noticeEnds;  // the cloud takes it then
+    std::optional<SteadyTime> listed;      // seen in a list, at its receipt
+    bool failedInList = false;
+    int errors = 0;                  // in a row
+    std::deque<CachedImage> images;  // most recently used first
+    std::vector<TaskRef> claims;
+    Resources used;
+};
+
+struct Part {
+    std::string owner;
+    std::uint64_t term = 0;
+    std::uint64_t version = 0;
+};
+
+// Limits over all: a part's share of each team's limit.
+struct TeamShare {
+    double cpus = 0;
+    double gpus = 0;
+};
+
+class Ledger {
+  public:
+    std::map<std::string, Job> jobs;
+    std::map<std::string, Machine> machines;
+    std::map<std::uint32_t, Part> parts;
+    std::map<std::string, std::uint64_t> nodes;  // alive, with the record's version
+    std::uint64_t lastTerm = 0;
+    std::uint64_t termVersion = 0;
+    // team -> part -> share
+    std::map<std::string, std::map<std::uint32_t, TeamShare>> shares;
+    std::map<std::string, std::uint64_t> shareVersions;
+    std::uint64_t applied = 0;  // every change up to this revision is in here
+
+    [[nodiscard]] Job* job(const std::string& id);
+    [[nodiscard]] Machine* machine(const std::string& id);
+
+    void addClaim(Job& job, Slice& slice, Claim claim);
+    void removeClaim(Job& job, Slice& slice, std::uint32_t task);
+    void dropJob(const std::string& id);
+    void dropMachine(const std::string& id);
+    // Replaces a slice's durable content, keeping what is known of claims that stay.
+    void replaceSlice(Job& job, Slice& slice, std::uint32_t part, std::vector<bool> done,
+                      std::vector<Claim> claims);
+    // After the jobs were read anew.
+    void rebuildClaims();
+
+    [[nodiscard]] Resources usedBy(const std::string& team, std::uint32_t part) const;
+
+  private:
+    void attach(const Job& job, const Claim& claim);
+    void detach(const Job& job, const Claim& claim);
+};
+
+std::vector<Slice> makeSlices(const JobSpec& spec, std::uint32_t sliceSize, std::uint32_t part);
+
+}  // namespace fawnwheel::bookkeeping
--- /dev/null
+++ b/src/bookkeeping/records.cpp
@@ -0,0 +1,252 @@
+#include "bookkeeping/records.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace fawnwheel::bookkeeping {
+
+namespace {
+
+using protocol::countOf;
+using protocol::flagOf;
+using protocol::listOf;
+using protocol::textOf;
+
+constexpr auto jobKey = "live/job/";
+constexpr auto sliceKey = "live/slice/";
+constexpr auto machineKey = "live/machine/";
+constexpr auto partKey = "live/part/";
+constexpr auto nodeKey = "live/node/";
+constexpr auto shareKey = "live/share/";
+constexpr double bytesPerTask = 52;  // a claim with long names, plus its done range
+constexpr std::uint32_t smallSlice = 4;
+constexpr std::uint32_t slicesWanted = 16;
+
+std::optional<std::string> after(const std::string& key, const char* prefix) {
+    if (!key.starts_with(prefix)) return std::nullopt;
+    return key.substr(std::string_view(prefix).size());
+}
+
+std::optional<std::uint32_t> toNumber(std::string_view text) {
+    std::uint32_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+    return value;
+}
+
+void applyJob(Ledger& ledger, const std::string& id, const protocol::Event& event) {
+    Job* known = ledger.job(id);
+    if (known != nullptr && known->version >= event.version) return;
+    if (!event.value) return ledger.dropJob(id);
+    const Json& value = *event.value;
+    const auto spec = protocol::parseJobSpec(value.value("spec", Json::object()));
+    if (!std::holds_alternative<JobSpec>(spec)) return;
+    const auto part = static_cast<std::uint32_t>(countOf(value, "part"));
+    if (known == nullptr) {
+        known = &ledger.jobs[id];
+        known->spec = std::get<JobSpec>(spec);
+        known->sliceSize =
+            std::max<std::uint32_t>(1, static_cast<std::uint32_t>(countOf(value, "slice", 1)));
+        known->slices = makeSlices(known->spec, known->sliceSize, part);
+    }
+    known->part = part;
+    known->cancelled = flagOf(value, "cancelled");
+    known->submitted = transport::WallTime(std::chrono::milliseconds(countOf(value, "submitted")));
+    known->version = event.version;
+    for (auto& slice : known->slices)
+        if (slice.version == 0) slice.part = part;
+}
+
+void applySlice(Ledger& ledger, const std::string& name, const protocol::Event& event) {
+    const auto slash = name.rfind('/');
+    if (slash == std::string::npos) return;
+    Job* job = ledger.job(name.substr(0, slash));
+    const auto index = toNumber(std::string_view(name).substr(slash + 1));
+    if (job == nullptr || !index || *index >= job->slices.size()) return;
+    Slice& slice = job->slices[*index];
+    if (slice.version >= event.version || !event.value) return;
+    const Json& value = *event.value;
+    std::vector<bool> done(slice.done.size(), false);
+    for (const auto& range : listOf(value, "done")) {
+        if (!range.is_array() || range.size() != 2) continue;
+        for (auto i = range[0].get<std::size_t>(); i <= range[1].get<std::size_t>(); ++i)
+            if (i < done.size()) done[i] = true;
+    }
+    std::vector<Claim> claims;
+    for (const auto& entry : listOf(value, "claims")) {
+        if (!entry.is_array() || entry.size() != 3) continue;
+        Claim claim;
+        claim.task = slice.first + entry[0].get<std::uint32_t>();
+        claim.machine = entry[1].get<std::string>();
+        claim.attempt = entry[2].get<std::uint64_t>();
+        claims.push_back(std::move(claim));
+    }
+    ledger.replaceSlice(*job, slice, static_cast<std::uint32_t>(countOf(value, "part")),
+                        std::move(done), std::move(claims));
+    slice.version = event.version;
+}
+
+void applyMachine(Ledger& ledger, const std::string& id, const protocol::Event& event,
+                  SteadyTime now) {
+    Machine* known = ledger.machine(id);
+    if (known != nullptr && known->version >= event.version) return;
+    if (!event.value) return ledger.dropMachine(id);
+    const Json& value = *event.value;
+    const bool fresh = known == nullptr;
+    if (fresh) known = &ledger.machines[id];
+    Machine& m = *known;
+    const auto part = static_cast<std::uint32_t>(countOf(value, "part"));
+    if (fresh || m.part != part) m.known = m.silentSince = m.idleSince = now;
+    m.id = id;
+    m.type = textOf(value, "type");
+    m.zone = textOf(value, "zone");
+    m.spot = flagOf(value, "spot");
+    m.part = part;
+    m.retired = flagOf(value, "retired");
+    m.version = event.version;
+    if (!fresh) return;
+    // A claim's record may have come before its machine's.
+    for (const auto& [name, job] : ledger.jobs)
+        for (const auto& slice : job.slices)
+            for (const auto& claim : slice.claims)
+                if (claim.machine == id) {
+                    m.claims.push_back({name, claim.task, claim.attempt});
+                    m.used += job.spec.each;
+                }
+}
+
+void applyPart(Ledger& ledger, std::uint32_t number, const protocol::Event& event) {
+    Part& part = ledger.parts[number];
+    if (part.version >= event.version || !event.value) return;
+    part.owner = textOf(*event.value, "owner");
+    part.term = countOf(*event.value, "term");
+    part.version = event.version;
+}
+
+void applyShare(Ledger& ledger, const std::string& team, const protocol::Event& event) {
+    if (ledger.shareVersions[team] >= event.version || !event.value) return;
+    auto& shares = ledger.shares[team];
+    shares.clear();
+    std::uint32_t part = 0;
+    for (const auto& entry : listOf(*event.value, "shares")) {
+        if (entry.is_array() && entry.size() == 2)
+            shares[part] = {entry[0].get<double>(), entry[1].get<double>()};
+        ++part;
+    }
+    ledger.shareVersions[team] = event.version;
+}
+
+}  // namespace
+
+namespace keys {
+std::string job(const std::string& id) {
+    return jobKey + id;
+}
+std::string slice(const std::string& id, std::uint32_t index) {
+    return sliceKey + id + "/" + std::to_string(index);
+}
+std::string machine(const std::string& id) {
+    return machineKey + id;
+}
+std::string part(std::uint32_t part) {
+    return partKey + std::to_string(part);
+}
+std::string node(const std::string& name) {
+    return nodeKey + name;
+}
+std::string share(const std::string& team) {
+    return shareKey + team;
+}
+std::string final(const std::string& id) {
+    return "final/" + id;
+}
+}  // namespace keys
+
+Json jobValue(const Job& job) {
+    const auto submitted =
+        std::chrono::duration_cast<std::chrono::milliseconds>(job.submitted.time_since_epoch());
+    return {{"spec", protocol::encodeJobSpec(job.spec)},
+            {"part", job.part},
+            {"slice", job.sliceSize},
+            {"cancelled", job.cancelled},
+            {"submitted", submitted.count()}};
+}
+
+Json sliceValue(const Slice& slice) {
+    Json done = Json::array();
+    for (std::size_t i = 0; i < slice.done.size(); ++i) {
+        if (!slice.done[i]) continue;
+        if (!done.empty() && done.back()[1].get<std::size_t>() + 1 == i)
+            done.back()[1] = i;
+        else
+            done.push_back({i, i});
+    }
+    Json claims = Json::array();
+    for (const auto& claim : slice.claims)
+        claims.push_back({claim.task - slice.first, claim.machine, claim.attempt});
+    return {{"part", slice.part}, {"done", std::move(done)}, {"claims", std::move(claims)}};
+}
+
+Json machineValue(const Machine& machine) {
+    return {{"type", machine.type},
+            {"zone", machine.zone},
+            {"spot", machine.spot},
+            {"part", machine.part},
+            {"retired", machine.retired}};
+}
+
+Json partValue(const Part& part) {
+    return {{"owner", part.owner}, {"term", part.term}};
+}
+
+Json shareValue(const std::map<std::uint32_t, TeamShare>& shares) {
+    Json list = Json::array();
+    for (const auto& [part, share] : shares) list.push_back({share.cpus, share.gpus});
+    return {{"shares", std::move(list)}};
+}
+
+Json finalValue(bool cancelled) {
+    return {{"cancelled", cancelled}};
+}
+
+bool finalIsCancelled(const Json& value) {
+    return flagOf(value, "cancelled");
+}
+
+std::uint32_t sliceSizeFor(const JobSpec& spec, double valueKb) {
+    const auto most = static_cast<std::uint32_t>(std::max(1.0, valueKb * 1024 / bytesPerTask));
+    Job probe;
+    probe.spec = spec;
+    if (probe.undivided()) return std::min(most, spec.tasks);
+    const auto even = (spec.tasks + slicesWanted - 1) / slicesWanted;
+    return std::clamp(even, std::min(smallSlice, most), most);
+}
+
+void applyEvent(Ledger& ledger, const protocol::Event& event, SteadyTime now) {
+    if (event.key == keys::term) {
+        if (event.value && event.version > ledger.termVersion) {
+            ledger.lastTerm = countOf(*event.value, "term");
+            ledger.termVersion = event.version;
+        }
+    } else if (const auto id = after(event.key, jobKey)) {
+        applyJob(ledger, *id, event);
+    } else if (const auto slice = after(event.key, sliceKey)) {
+        applySlice(ledger, *slice, event);
+    } else if (const auto machine = after(event.key, machineKey)) {
+        applyMachine(ledger, *machine, event, now);
+    } else if (const auto part = after(event.key, partKey)) {
+        if (const auto number = toNumber(*part)) applyPart(ledger, *number, event);
+    } else if (const auto node = after(event.key, nodeKey)) {
+        const auto known = ledger.nodes.find(*node);
+        if (event.value)
+            ledger.nodes[*node] =
+                std::max(event.version, known == ledger.nodes.end() ? 0 : known->second);
+        else if (known != ledger.nodes.end() && known->second < event.version)
+            ledger.nodes.erase(known);
+    } else if (const auto team = after(event.key, shareKey)) {
+        applyShare(ledger, *team, event);
+    }
+}
+
+}  // namespace fawnwheel::bookkeeping
--- /dev/null
+++ b/src/bookkeeping/records.h
@@ -0,0 +1,43 @@
+// The durable records: their keys in the state service and their values.
+//
+// Everything alive is under one prefix, so that one follow mirrors it; final states are apart and
+// are kept for ever.
+#pragma once
+
+#include <string>
+
+#include "bookkeeping/ledger.h"
+#include "protocol/state_client.h"
+
+namespace fawnwheel::bookkeeping {
+
+using protocol::Json;
+
+namespace keys {
+inline constexpr auto live = "live/";
+inline constexpr auto term = "live/term";
+std::string job(const std::string& id);
+std::string slice(const std::string& id, std::uint32_t index);
+std::string machine(const std::string& id);
+std::string part(std::uint32_t part);
+std::string node(const std::string& name);
+std::string share(const std::string& team);
+std::string final(const std::string& id);
+}  // namespace keys
+
+Json jobValue(const Job& job);
+Json sliceValue(const Slice& slice);
+Json machineValue(const Machine& machine);
+Json partValue(const Part& part);
+Json shareValue(const std::map<std::uint32_t, TeamShare>& shares);
+Json finalValue(bool cancelled);
+bool finalIsCancelled(const Json& value);
+
+// How many tasks a slice may have so that its record, all tasks claimed, stays within a value.
+std::uint32_t sliceSizeFor(const JobSpec& spec, double valueKb);
+
+// Applies a record as read or followed, unless the ledger has it at least as new. An event without
+// value is a deletion.
+void applyEvent(Ledger& ledger, const protocol::Event& event, SteadyTime now);
+
+}  // namespace fawnwheel::bookkeeping
--- /dev/null
+++ b/src/coordination/committer.cpp
@@ -0,0 +1,164 @@
+#include "coordination/committer.h"
+
+#include <spdlog/spdlog.h>
+
+#include "bookkeeping/records.h"
+
+namespace fawnwheel::coordination {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto retryPause = 250ms;
+
+}  // namespace
+
+void Committer::commit(std::uint32_t part, protocol::Transaction transaction, Done done) {
+    for (const auto& change : transaction.changes) keys_.insert(change.key);
+    auto& queue = queues_[part];
+    queue.push_back({std::move(transaction), std::move(done), false, nextId_++});
+    if (queue.size() == 1) send(part);
+}
+
+bool Committer::busy(std::uint32_t part) const {
+    const auto found = queues_.find(part);
+    return found != queues_.end() && !found->second.empty();
+}
+
+void Committer::abandon(std::uint32_t part) {
+    auto works = std::move(queues_[part]);
+    queues_.erase(part);
+    for (auto& work : works) {
+        for (const auto& change : work.transaction.changes) keys_.erase(keys_.find(change.key));
+        work.done(CommitResult::partLost, 0);
+    }
+}
+
+void Committer::send(std::uint32_t part) {
+    const auto found = queues_.find(part);
+    if (found == queues_.end() || found->second.empty()) return;
+    Work& work = found->second.front();
+    protocol::Transaction transaction = work.transaction;
+    // Guards against a late or stale transaction: an owner that has lost its part, or an earlier
+    // life of this process, can no longer change anything.
+    transaction.conditions.push_back(
+        {bookkeeping::keys::part(part), context_.ledger.lock()->parts[part].version});
+    context_.state.transact(
+        std::move(transaction), protocol::Urgency::write,
+        [this, part, id = work.id](const protocol::TransactionAnswer& answer) {
+            const auto queue = queues_.find(part);
+            if (queue == queues_.end() || queue->second.empty() || queue->second.front().id != id)
+                return;
+            switch (answer.result) {
+                case protocol::StateResult::ok:
+                    return settle(part, CommitResult::done, answer.revision);
+                case protocol::StateResult::refused:
+                    return readBack(part);
+                case protocol::StateResult::unknown:
+                    // It may yet be carried out. Asking for the same again settles it: whichever
+                    // comes second fails on the versions that the first one moved.
+                    queue->second.front().sent = true;
+                    [[fallthrough]];
+                case protocol::StateResult::notCarried:
+                    context_.timers.after(context_.jittered(retryPause), [this, part, id] {
+                        const auto again = queues_.find(part);
+                        if (again != queues_.end() && !again->second.empty() &&
+                            again->second.front().id == id)
+                            send(part);
+                    });
+            }
+        });
+}
+
+void Committer::settle(std::uint32_t part, CommitResult result, std::uint64_t revision) {
+    auto& queue = queues_[part];
+    Work work = std::move(queue.front());
+    queue.pop_front();
+    for (const auto& change : work.transaction.changes) keys_.erase(keys_.find(change.key));
+    work.done(result, revision);
+    if (result == CommitResult::partLost) {
+        abandon(part);
+        onDoubt();
+        return;
+    }
+    send(part);
+}
+
+void Committer::readBack(std::uint32_t part) {
+    const Work& work = queues_[part].front();
+    std::set<std::string> wanted{bookkeeping::keys::part(part)};
+    for (const auto& condition : work.transaction.conditions) wanted.insert(condition.key);
+    for (const auto& change : work.transaction.changes) wanted.insert(change.key);
+
+    struct Gather {
+        std::size_t left = 0;
+        bool failed = false;
+        std::vector<protocol::Item> items;
+        std::set<std::string> missing;
+    };
+    auto gather = std::make_shared<Gather>();
+    gather->left = wanted.size();
+    for (const auto& key : wanted) {
+        context_.state.read(key, [this, part, key, gather,
+                                  id = work.id](const protocol::ReadAnswer& answer) {
+            if (answer.result != protocol::StateResult::ok)
+                gather->failed = true;
+            else if (answer.items.empty())
+                gather->missing.insert(key);
+            else
+                gather->items.push_back(answer.items.front());
+            if (--gather->left > 0) return;
+            const auto queue = queues_.find(part);
+            if (queue == queues_.end() || queue->second.empty() || queue->second.front().id != id)
+                return;
+            if (!gather->failed)
+                return finishReadBack(part, std::move(gather->items), std::move(gather->missing));
+            context_.timers.after(context_.jittered(retryPause), [this, part, id] {
+                const auto again = queues_.find(part);
+                if (again != queues_.end() && !again->second.empty() &&
+                    again->second.front().id == id)
+                    readBack(part);
+            });
+        });
+    }
+}
+
+void Committer::finishReadBack(std::uint32_t part, std::vector<protocol::Item> items,
+                               std::set<std::string> missing) {
+    const Work& work = queues_[part].front();
+    bool landed = true;
+    std::uint64_t revision = 0;
+    for (const auto& change : work.transaction.changes) {
+        if (!change.value) {
+            landed = landed && missing.contains(change.key);
+            continue;
+        }
+        const auto stored = std::find_if(items.begin(), items.end(),
+                                         [&](const auto& i) { return i.key == change.key; });
+        if (stored == items.end() || stored->value != *change.value) {
+            landed = false;
+        } else {
+            revision = std::max(revision, stored->version);
+        }
+    }
+    bool partLost = missing.contains(bookkeeping::keys::part(part));
+    {
+        auto ledger = context_.ledger.lock();
+        const auto& own = ledger->parts[part];
+        for (const auto& item : items)
+            if (item.key == bookkeeping::keys::part(part)) partLost = item.version != own.version;
+    }
+    // A first try without an answer may have been the one that landed.
+    if (landed && work.sent && !partLost) return settle(part, CommitResult::done, revision);
+    spdlog::info("commit: part {} refused, {}", part, partLost ? "part lost" : "records changed");
+    if (!partLost) {
+        auto ledger = context_.ledger.lock();
+        for (const auto& item : items)
+            bookkeeping::applyEvent(*ledger, {item.key, item.value, item.version}, context_.now());
+        // A deletion carries no version here; the follow brings it in order.
+    }
+    settle(part, partLost ? CommitResult::partLost : CommitResult::conflict, 0);
+}
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/committer.h
@@ -0,0 +1,51 @@
+// Carries an owner's changes to the state service: for each part one transaction at a time, each
+// guarded by the part's own record, repeated until there is a definite answer.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+
+#include "coordination/context.h"
+
+namespace fawnwheel::coordination {
+
+enum class CommitResult { done, conflict, partLost };
+
+class Committer {
+  public:
+    using Done = std::function<void(CommitResult, std::uint64_t revision)>;
+
+    explicit Committer(Context& context) : context_(context) {}
+
+    // The part's condition is added here. After a conflict the ledger has been refreshed.
+    void commit(std::uint32_t part, protocol::Transaction transaction, Done done);
+    [[nodiscard]] bool busy(std::uint32_t part) const;
+    [[nodiscard]] bool inFlight(const std::string& key) const { return keys_.contains(key); }
+    // The part is no longer ours: what waits is dropped.
+    void abandon(std::uint32_t part);
+
+    std::function<void()> onDoubt = [] {};
+
+  private:
+    struct Work {
+        protocol::Transaction transaction;
+        Done done;
+        bool sent = false;  // at least once without a definite answer
+        std::uint64_t id = 0;
+    };
+
+    void send(std::uint32_t part);
+    void settle(std::uint32_t part, CommitResult result, std::uint64_t revision);
+    void readBack(std::uint32_t part);
+    void finishReadBack(std::uint32_t part, std::vector<protocol::Item> items,
+                        std::set<std::string> missing);
+
+    Context& context_;
+    std::map<std::uint32_t, std::deque<Work>> queues_;
+    std::multiset<std::string> keys_;
+    std::uint64_t nextId_ = 1;
+};
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/context.h
@@ -0,0 +1,86 @@
+// What the parts of the coordination share.
+#pragma once
+
+#include <random>
+
+#include "app/settings.h"
+#include "bookkeeping/guarded.h"
+#include "bookkeeping/ledger.h"
+#include "protocol/cloud_client.h"
+#include "protocol/state_client.h"
+
+namespace fawnwheel::coordination {
+
+using bookkeeping::Claim;
+using bookkeeping::Job;
+using bookkeeping::Ledger;
+using bookkeeping::Machine;
+using bookkeeping::Slice;
+using protocol::MachineType;
+using protocol::Resources;
+using protocol::Seconds;
+using transport::Duration;
+using transport::SteadyTime;
+
+inline Duration ticks(Seconds s) {
+    return std::chrono::duration_cast<Duration>(s);
+}
+
+struct Context {
+    Context(const app::Settings& platform, const app::OperatorSettings& operators,
+            transport::Timers& clock, transport::Network& net, std::uint64_t seed)
+        : settings(platform),
+          tuning(operators),
+          timers(clock),
+          network(net),
+          nodes(platform.nodeNames()),
+          state(clock, net, platform.state, stateShare()),
+          cloud(clock, net, platform.cloud,
+                platform.cloudCalls * shareOfLimits / static_cast<double>(nodes.size())),
+          rng(seed) {
+        for (std::uint32_t i = 0; i < nodes.size(); ++i)
+            if (nodes[i] == settings.name) naturalPart = i;
+    }
+
+    [[nodiscard]] SteadyTime now() const { return timers.now(); }
+    [[nodiscard]] std::uint32_t partCount() const {
+        return static_cast<std::uint32_t>(nodes.size());
+    }
+    [[nodiscard]] const MachineType* type(const std::string& name) const {
+        for (const auto& t : catalog)
+            if (t.name == name) return &t;
+        return nullptr;
+    }
+    [[nodiscard]] const app::Team* team(const std::string& name) const {
+        for (const auto& t : settings.teams)
+            if (t.name == name) return &t;
+        return nullptr;
+    }
+    // A duration spread by plus or minus a quarter, so that nodes don't act in step.
+    Duration jittered(Duration around) {
+        return ticks(Seconds(around) * std::uniform_real_distribution<>(0.75, 1.25)(rng));
+    }
+
+    const app::Settings& settings;
+    const app::OperatorSettings& tuning;
+    transport::Timers& timers;
+    transport::Network& network;
+    std::vector<std::string> nodes;
+    std::uint32_t naturalPart = 0;
+    protocol::StateClient state;
+    protocol::CloudClient cloud;
+    bookkeeping::Guarded<Ledger> ledger;
+    std::vector<MachineType> catalog;
+    std::mt19937_64 rng;
+
+  private:
+    static constexpr double shareOfLimits = 0.92;
+
+    [[nodiscard]] protocol::StateLimits stateShare() const {
+        const auto count = static_cast<double>(nodes.size());
+        return {settings.stateRequests * shareOfLimits / count,
+                settings.stateWrites * shareOfLimits / count};
+    }
+};
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/controller.cpp
@@ -0,0 +1,154 @@
+#include "coordination/controller.h"
+
+#include <spdlog/spdlog.h>
+
+#include "protocol/names.h"
+
+namespace fawnwheel::coordination {
+
+namespace {
+
+using namespace std::chrono_literals;
+namespace wire = protocol::wire;
+
+constexpr auto workDelay = 30ms;  // gathers what one round of events changes
+constexpr auto housekeepingPeriod = 500ms;
+
+}  // namespace
+
+Controller::Controller(const app::Settings& settings, const app::OperatorSettings& tuning,
+                       transport::Timers& timers, transport::Network& network, std::uint64_t seed)
+    : context_(settings, tuning, timers, network, seed),
+      mirror_(context_),
+      committer_(context_),
+      membership_(context_),
+      recorder_(context_, committer_),
+      placement_(context_, membership_),
+      reports_(context_, membership_, recorder_),
+      fleet_(context_, membership_, committer_, placement_, reports_),
+      moves_(context_, membership_, committer_, placement_),
+      intake_(context_, membership_, moves_) {
+    mirror_.inFlight = [this](const std::string& key) { return committer_.inFlight(key); };
+    mirror_.onChange = [this] {
+        membership_.review();
+        noteCancellations();
+        soon();
+    };
+    committer_.onDoubt = [this] { mirror_.resync(); };
+    membership_.synced = [this] { return mirror_.synced(); };
+    membership_.ready = [this] { return mirror_.synced() && !context_.catalog.empty(); };
+    membership_.busy = [this](std::uint32_t part) { return committer_.busy(part); };
+    membership_.onActive = [this](std::uint32_t part) {
+        reports_.onPartActive(part);
+        soon();
+    };
+    recorder_.onFinal = [this](const std::string& id, bool cancelled) {
+        intake_.noteFinal(id, cancelled);
+        stopping_.erase(id);
+    };
+    recorder_.onDurable = [this] { soon(); };
+    reports_.onUnassigned = [this](const protocol::WorkerReport& report) {
+        fleet_.assignReported(report);
+    };
+    reports_.onChange = [this] { soon(); };
+    intake_.synced = [this] { return mirror_.synced(); };
+    intake_.onAccepted = [this] { soon(); };
+    intake_.onCancelled = [this](const std::string&) { noteCancellations(); };
+}
+
+void Controller::start() {
+    mirror_.start();
+    membership_.start();
+    fleet_.start();
+    moves_.start();
+    housekeeping();
+}
+
+void Controller::soon() {
+    if (workPlanned_) return;
+    workPlanned_ = true;
+    context_.timers.after(workDelay, [this] {
+        workPlanned_ = false;
+        work();
+    });
+}
+
+void Controller::work() {
+    for (const auto part : membership_.activeParts()) {
+        if (membership_.leaseStands()) fleet_.rentFor(part, placement_.run(part));
+        recorder_.flush(part);
+    }
+}
+
+void Controller::noteCancellations() {
+    std::vector<std::string> fresh;
+    {
+        auto ledger = context_.ledger.lock();
+        for (const auto& [id, job] : ledger->jobs)
+            if (job.cancelled && job.anyClaim() && stopping_.insert(id).second) fresh.push_back(id);
+    }
+    for (const auto& id : fresh) reports_.stopNow(id);
+}
+
+void Controller::housekeeping() {
+    for (const auto part : membership_.activeParts()) {
+        reports_.expireSilent(part);
+        fleet_.review(part);
+    }
+    std::erase_if(stopping_, [this](const std::string& id) {
+        return context_.ledger.lock()->job(id) == nullptr;
+    });
+    soon();
+    context_.timers.after(housekeepingPeriod, [this] { housekeeping(); });
+}
+
+void Controller::onReport(const std::string& body, const transport::HttpReply& reply) {
+    const auto map = protocol::decodeCbor(body);
+    const auto report = map ? protocol::parseWorkerReport(*map) : std::nullopt;
+    if (!report) return reply({400, {}, 0});
+    if (!mirror_.synced()) return reply({503, {}, 0});
+    auto answer = reports_.handle(*report);
+    reply({answer.status, std::move(answer.body), 0});
+}
+
+void Controller::onRequest(const transport::HttpRequest& request, transport::HttpReply reply) {
+    const auto path = request.path.substr(0, request.path.find('?'));
+    const bool get = request.method == "GET";
+    const bool post = request.method == "POST";
+    const transport::HttpResponse wrongMethod{405, {}, 0};
+    if (path == wire::pathReport) return post ? onReport(request.body, reply) : reply(wrongMethod);
+    if (path == wire::pathHealth)
+        return reply(get ? transport::HttpResponse{healthy() ? 200 : 503, {}, 0} : wrongMethod);
+    const std::string jobs = wire::pathJobs;
+    if (path == jobs) return post ? intake_.submit(request.body, reply) : reply(wrongMethod);
+    if (!path.starts_with(jobs + "/")) return reply({404, {}, 0});
+    auto id = path.substr(jobs.size() + 1);
+    const std::string_view cancel = wire::pathCancel;
+    if (id.ends_with(cancel)) {
+        id.resize(id.size() - cancel.size());
+        return post ? intake_.cancel(id, std::move(reply)) : reply(wrongMethod);
+    }
+    return get ? intake_.ask(id, std::move(reply)) : reply(wrongMethod);
+}
+
+void Controller::onFrame(const std::string& payload) {
+    const auto envelope = protocol::decodePeer(payload);
+    if (!envelope) {
+        spdlog::debug("peer: a frame that can't be read");
+        return;
+    }
+    const auto& peer = envelope->sender;
+    std::visit(
+        [&](const auto& message) {
+            using Message = std::decay_t<decltype(message)>;
+            if constexpr (std::is_same_v<Message, protocol::Status>)
+                membership_.onStatus(peer, message);
+            else if constexpr (std::is_same_v<Message, protocol::MoveAsk>)
+                moves_.onAsk(peer, message);
+            else if constexpr (std::is_same_v<Message, protocol::MoveAnswer>)
+                moves_.onAnswer(message);
+        },
+        envelope->message);
+}
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/controller.h
@@ -0,0 +1,44 @@
+// One controller: routes requests and messages to the parts of the coordination and lets them
+// work in turn.
+#pragma once
+
+#include "coordination/fleet.h"
+#include "coordination/intake.h"
+#include "coordination/mirror.h"
+#include "coordination/moves.h"
+
+namespace fawnwheel::coordination {
+
+class Controller {
+  public:
+    Controller(const app::Settings& settings, const app::OperatorSettings& tuning,
+               transport::Timers& timers, transport::Network& network, std::uint64_t seed);
+
+    void start();
+    void onRequest(const transport::HttpRequest& request, transport::HttpReply reply);
+    void onFrame(const std::string& payload);
+
+    [[nodiscard]] bool healthy() const { return membership_.healthy(); }
+
+  private:
+    void onReport(const std::string& body, const transport::HttpReply& reply);
+    void soon();
+    void work();
+    void housekeeping();
+    void noteCancellations();
+
+    Context context_;
+    Mirror mirror_;
+    Committer committer_;
+    Membership membership_;
+    Recorder recorder_;
+    Placement placement_;
+    Reports reports_;
+    Fleet fleet_;
+    Moves moves_;
+    Intake intake_;
+    bool workPlanned_ = false;
+    std::set<std::string> stopping_;  // cancelled jobs whose stops have been sent
+};
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/fleet.h
@@ -0,0 +1,71 @@
+// The machines of the parts this process owns: assigning, renting, giving back, and telling which
+// are gone.
+#pragma once
+
+#include "coordination/placement.h"
+#include "coordination/reports.h"
+
+namespace fawnwheel::coordination {
+
+class Fleet {
+  public:
+    Fleet(Context& context, Membership& membership, Committer& committer, Placement& placement,
+          Reports& reports)
+        : context_(context),
+          membership_(membership),
+          committer_(committer),
+          placement_(placement),
+          reports_(reports) {}
+
+    void start();
+    // A worker reports that nobody has assigned yet.
+    void assignReported(const protocol::WorkerReport& report);
+    void rentFor(std::uint32_t part, const std::vector<Unplaced>& unplaced);
+    // Idle, never-booting, faulty and silent machines.
+    void review(std::uint32_t part);
+
+  private:
+    struct Kind {
+        std::string type;
+        std::string zone;
+        bool spot = false;
+        auto operator<=>(const Kind&) const = default;
+    };
+    struct Found {
+        protocol::CloudMachine machine;
+        SteadyTime seen{};
+    };
+
+    void loadCatalog();
+    void listMachines();
+    void listPage(const std::string& after, SteadyTime asked,
+                  std::vector<protocol::CloudMachine> sofar);
+    void takeInList(SteadyTime asked, const std::vector<protocol::CloudMachine>& machines);
+    void assign(const std::string& id, const std::string& type, const std::string& zone, bool spot,
+                std::optional<std::uint32_t> part);
+    [[nodiscard]] std::uint32_t partFor(const Ledger& ledger, const std::string& type,
+                                        const std::string& zone) const;
+    void rent(std::uint32_t part, const Kind& kind, int count);
+    void sendRental(std::uint32_t part, const Kind& kind, int count, const std::string& name,
+                    int tries);
+    void retire(Machine& machine, const char* why);
+    void release();
+    void forgetMachine(std::uint32_t part, const std::string& id);
+    [[nodiscard]] std::optional<Kind> cheapest(const Job& job, std::uint32_t tasks) const;
+
+    Context& context_;
+    Membership& membership_;
+    Committer& committer_;
+    Placement& placement_;
+    Reports& reports_;
+    std::map<Kind, SteadyTime> refused_;                  // no capacity: not before
+    std::map<std::uint32_t, std::map<Kind, int>> asked_;  // rentals under way
+    std::map<std::string, Found> unassigned_;
+    std::set<std::string> assigning_;
+    std::set<std::string> retiring_;
+    std::set<std::string> releasing_;
+    std::set<std::string> dropping_;
+    std::uint64_t rentals_ = 0;
+};
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/membership.cpp
@@ -0,0 +1,342 @@
+#include "coordination/membership.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "bookkeeping/records.h"
+
+namespace fawnwheel::coordination {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto beatPeriod = 500ms;
+constexpr auto joinPause = 300ms;
+constexpr auto peerLost = 2500ms;
+constexpr auto rankPause = 1s;      // between successors in line
+constexpr auto handBackAfter = 2s;  // the natural owner must have been back this long
+constexpr double driftMargin = 0.998;
+constexpr auto clockStep = 50ms;  // timers fire in steps
+
+std::uint64_t micros(SteadyTime t) {
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(t.time_since_epoch()).count());
+}
+
+SteadyTime fromMicros(std::uint64_t value) {
+    return SteadyTime(std::chrono::microseconds(value));
+}
+
+}  // namespace
+
+void Membership::start() {
+    createHold();
+    beat();
+}
+
+bool Membership::leaseStands() const {
+    return joined_ && context_.now() < leaseUntil_;
+}
+
+bool Membership::mayAnswerWorkers() const {
+    if (leaseStands()) return true;
+    if (!joined_ || context_.state.reachable()) return false;
+    // Every peer must have said so after `now - confirmationLasts`: one that reaches the state
+    // service again stops saying it before it can take anything over, so a successor has to wait
+    // this much longer for our workers' leases and no more.
+    const auto now = context_.now();
+    return std::all_of(context_.settings.peers.begin(), context_.settings.peers.end(),
+                       [&](const auto& peer) {
+                           const auto found = peers_.find(peer.name);
+                           return found != peers_.end() &&
+                                  now - found->second.saidLost < confirmationLasts - clockStep;
+                       });
+}
+
+bool Membership::peerFresh(const std::string& peer) const {
+    const auto found = peers_.find(peer);
+    return found != peers_.end() && context_.now() - found->second.heard < peerLost;
+}
+
+bool Membership::healthy() const {
+    if (!synced() || context_.catalog.empty()) return false;
+    if (leaseStands() || context_.state.reachable()) return true;
+    // In an outage for all, leaving the balancer would only delay the return. Refused alone, we
+    // send users to those who are served.
+    return std::none_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+        return peerFresh(entry.first) && entry.second.reachable && entry.second.ready;
+    });
+}
+
+void Membership::onStatus(const std::string& peer, const protocol::Status& status) {
+    const bool known = std::any_of(context_.settings.peers.begin(), context_.settings.peers.end(),
+                                   [&](const auto& p) { return p.name == peer; });
+    if (!known) return;
+    PeerState& state = peers_[peer];
+    const auto now = context_.now();
+    if (now - state.heard > peerLost) state.freshSince = now;
+    state.heard = now;
+    state.sentAt = status.sentAt;
+    state.reachable = status.stateReachable;
+    state.ready = status.ready;
+    // An echo from the future is an earlier life's of ours.
+    if (!status.stateReachable && status.echo != 0 && fromMicros(status.echo) <= now)
+        state.saidLost = std::max(state.saidLost, fromMicros(status.echo));
+}
+
+void Membership::beat() {
+    for (const auto& peer : context_.settings.peers) {
+        protocol::Status status;
+        status.sentAt = micros(context_.now());
+        status.echo = peers_[peer.name].sentAt;
+        status.stateReachable = context_.state.reachable();
+        status.ready = ready();
+        context_.network.sendFrame(peer.name,
+                                   protocol::encodePeer({context_.settings.name, status}));
+    }
+    review();
+    context_.timers.after(beatPeriod, [this] { beat(); });
+}
+
+void Membership::rejoinLater() {
+    context_.timers.after(context_.jittered(joinPause), [this] { createHold(); });
+}
+
+void Membership::createHold() {
+    if (!synced()) return rejoinLater();
+    const auto sent = context_.now();
+    context_.state.createHold(ticks(context_.tuning.nodeLease), [this, sent](std::uint64_t hold) {
+        if (hold == 0) return rejoinLater();
+        writeNode(hold, sent);
+    });
+}
+
+void Membership::writeNode(std::uint64_t hold, SteadyTime sent) {
+    protocol::Transaction transaction;
+    {
+        auto ledger = context_.ledger.lock();
+        const auto& name = context_.settings.name;
+        const auto known = ledger->nodes.find(name);
+        // The version guards against a late write by an earlier life of this node, which would
+        // hang the record on a lease that nobody renews.
+        transaction.conditions.push_back(
+            {bookkeeping::keys::node(name), known == ledger->nodes.end() ? 0 : known->second});
+        // While we were out, a peer may have taken our parts. Answering their workers once more
+        // would prolong leases that the successor counts down.
+        for (const auto& [part, term] : taken_)
+            transaction.conditions.push_back(
+                {bookkeeping::keys::part(part), ledger->parts[part].version});
+        transaction.changes.push_back(
+            {bookkeeping::keys::node(name), protocol::Json{{"term", ledger->lastTerm}}, hold});
+    }
+    context_.state.transact(
+        std::move(transaction), protocol::Urgency::lease,
+        [this, hold, sent](const protocol::TransactionAnswer& answer) {
+            if (answer.result == protocol::StateResult::refused) {
+                for (const auto& key : answer.failed)
+                    for (std::uint32_t part = 0; part < context_.partCount(); ++part)
+                        if (key == bookkeeping::keys::part(part)) taken_.erase(part);
+                return refreshNodeVersion(hold, sent);
+            }
+            if (answer.result != protocol::StateResult::ok) return rejoinLater();
+            {
+                auto ledger = context_.ledger.lock();
+                ledger->nodes[context_.settings.name] = answer.revision;
+            }
+            hold_ = hold;
+            joined_ = true;
+            leaseUntil_ = sent + ticks(context_.tuning.nodeLease * driftMargin) - clockStep;
+            spdlog::info("membership: joined");
+            context_.timers.after(ticks(context_.tuning.nodeLease / 4), [this] { renew(); });
+            review();
+        });
+}
+
+void Membership::refreshNodeVersion(std::uint64_t hold, SteadyTime sent) {
+    const auto key = bookkeeping::keys::node(context_.settings.name);
+    context_.state.read(key, [this, hold, sent](const protocol::ReadAnswer& answer) {
+        if (answer.result != protocol::StateResult::ok) return rejoinLater();
+        {
+            auto ledger = context_.ledger.lock();
+            if (answer.items.empty())
+                ledger->nodes.erase(context_.settings.name);
+            else
+                ledger->nodes[context_.settings.name] = answer.items.front().version;
+        }
+        if (context_.now() - sent < ticks(context_.tuning.nodeLease / 2))
+            writeNode(hold, sent);
+        else
+            rejoinLater();
+    });
+}
+
+void Membership::renew() {
+    const auto sent = context_.now();
+    context_.state.extendHold(hold_, [this, sent](protocol::StateResult result) {
+        if (result == protocol::StateResult::refused) {
+            spdlog::info("membership: lease lost");
+            joined_ = false;
+            // What we held may have been taken; the rejoining transaction finds out.
+            return createHold();
+        }
+        if (result == protocol::StateResult::ok)
+            leaseUntil_ = std::max(
+                leaseUntil_, sent + ticks(context_.tuning.nodeLease * driftMargin) - clockStep);
+        const auto pause = result == protocol::StateResult::ok
+                               ? ticks(context_.tuning.nodeLease / 4)
+                               : context_.jittered(joinPause);
+        context_.timers.after(pause, [this] { renew(); });
+    });
+}
+
+bool Membership::active(std::uint32_t part) {
+    const auto taken = taken_.find(part);
+    if (taken == taken_.end() || !joined_ || !synced()) return false;
+    auto ledger = context_.ledger.lock();
+    const auto& record = ledger->parts[part];
+    return record.owner == context_.settings.name && record.term == taken->second &&
+           ledger->applied >= record.version;
+}
+
+std::vector<std::uint32_t> Membership::activeParts() {
+    std::vector<std::uint32_t> parts;
+    for (std::uint32_t part = 0; part < context_.partCount(); ++part)
+        if (active(part)) parts.push_back(part);
+    return parts;
+}
+
+std::uint64_t Membership::term(std::uint32_t part) {
+    return context_.ledger.lock()->parts[part].term;
+}
+
+void Membership::raiseTerm(std::uint32_t part) {
+    spdlog::info("membership: part {} needs a higher term", part);
+    taken_.erase(part);
+    review();
+}
+
+void Membership::review() {
+    if (!joined_ || !synced() || !leaseStands()) return;
+    const auto now = context_.now();
+    for (std::uint32_t part = 0; part < context_.partCount(); ++part) {
+        bookkeeping::Part record;
+        bool ownerAlive = false;
+        bool naturalAlive = false;
+        const std::string natural = context_.nodes[part];
+        {
+            auto ledger = context_.ledger.lock();
+            record = ledger->parts[part];
+            ownerAlive = ledger->nodes.contains(record.owner);
+            naturalAlive = ledger->nodes.contains(natural);
+        }
+        if (active(part)) {
+            if (announced_[part] != record.term) {
+                announced_[part] = record.term;
+                spdlog::info("membership: part {} active, term {}", part, record.term);
+                onActive(part);
+            }
+            const auto peer = peers_.find(natural);
+            if (natural != context_.settings.name && naturalAlive && peer != peers_.end() &&
+                peerFresh(natural) && peer->second.ready && peer->second.reachable &&
+                now - peer->second.freshSince > handBackAfter && !busy(part))
+                handBack(part);
+            continue;
+        }
+        if (record.owner == context_.settings.name) {
+            // Ours by an earlier life, handed to us, or its term must rise. In each case no other
+            // process acts as its owner.
+            if (!taken_.contains(part) || taken_[part] != record.term) take(part);
+            continue;
+        }
+        taken_.erase(part);
+        const bool orphan =
+            record.version == 0 ? natural == context_.settings.name || !naturalAlive : !ownerAlive;
+        if (!orphan) {
+            orphanSince_.erase(part);
+            continue;
+        }
+        const auto since = orphanSince_.try_emplace(part, now).first->second;
+        // Successors stand in line from the part's natural owner on.
+        const auto rank =
+            (context_.naturalPart + context_.partCount() - part) % context_.partCount();
+        if (now - since >= rank * rankPause) take(part);
+    }
+}
+
+void Membership::take(std::uint32_t part) {
+    if (!taking_.insert(part).second) return;
+    protocol::Transaction transaction;
+    bookkeeping::Part next;
+    {
+        auto ledger = context_.ledger.lock();
+        const auto& record = ledger->parts[part];
+        next.owner = context_.settings.name;
+        next.term = ledger->lastTerm + 1;
+        transaction.conditions = {{bookkeeping::keys::part(part), record.version},
+                                  {bookkeeping::keys::term, ledger->termVersion}};
+        if (!record.owner.empty() && record.owner != next.owner)
+            transaction.conditions.push_back({bookkeeping::keys::node(record.owner), 0});
+        // Our own life is a condition too: a late taking by a process that has ended fails.
+        transaction.conditions.push_back(
+            {bookkeeping::keys::node(next.owner), ledger->nodes[next.owner]});
+        transaction.changes = {{bookkeeping::keys::part(part), bookkeeping::partValue(next), 0},
+                               {bookkeeping::keys::term, protocol::Json{{"term", next.term}}, 0}};
+    }
+    context_.state.transact(std::move(transaction), protocol::Urgency::lease,
+                            [this, part, next](const protocol::TransactionAnswer& answer) {
+                                taking_.erase(part);
+                                if (answer.result != protocol::StateResult::ok) {
+                                    // The mirror shows what became of it; then we look again.
+                                    context_.timers.after(context_.jittered(joinPause),
+                                                          [this] { review(); });
+                                    return;
+                                }
+                                spdlog::info("membership: took part {}, term {}", part, next.term);
+                                {
+                                    auto ledger = context_.ledger.lock();
+                                    auto& record = ledger->parts[part];
+                                    record = next;
+                                    record.version = answer.revision;
+                                    ledger->lastTerm = next.term;
+                                    ledger->termVersion = answer.revision;
+                                }
+                                taken_[part] = next.term;
+                                orphanSince_.erase(part);
+                                review();
+                            });
+}
+
+void Membership::handBack(std::uint32_t part) {
+    if (!taking_.insert(part).second) return;
+    protocol::Transaction transaction;
+    bookkeeping::Part next;
+    {
+        auto ledger = context_.ledger.lock();
+        const auto& record = ledger->parts[part];
+        next = record;
+        next.owner = context_.nodes[part];
+        transaction.conditions = {{bookkeeping::keys::part(part), record.version},
+                                  {bookkeeping::keys::node(next.owner), ledger->nodes[next.owner]}};
+        transaction.changes = {{bookkeeping::keys::part(part), bookkeeping::partValue(next), 0}};
+    }
+    // Answering nobody for the part from now on: the new owner may start at any moment.
+    taken_.erase(part);
+    announced_.erase(part);
+    context_.state.transact(std::move(transaction), protocol::Urgency::lease,
+                            [this, part, next](const protocol::TransactionAnswer& answer) {
+                                taking_.erase(part);
+                                // Without success the record still names us, and we take it anew
+                                // with a higher term.
+                                if (answer.result != protocol::StateResult::ok) return;
+                                spdlog::info("membership: handed part {} back to {}", part,
+                                             next.owner);
+                                auto ledger = context_.ledger.lock();
+                                auto& record = ledger->parts[part];
+                                record = next;
+                                record.version = answer.revision;
+                            });
+}
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/mirror.cpp
@@ -0,0 +1,127 @@
+#include "coordination/mirror.h"
+
+#include <spdlog/spdlog.h>
+
+#include "bookkeeping/records.h"
+
+namespace fawnwheel::coordination {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto retryPause = 300ms;
+constexpr auto followWait = 10s;
+// Between two follows, so that a stream of changes comes in batches. Small beside a worker's
+// report period; large enough to leave most requests of a node's share to others.
+constexpr double followShareOfRequests = 0.35;
+
+}  // namespace
+
+void Mirror::resync() {
+    spdlog::info("mirror: reading all records anew");
+    readAll();
+}
+
+void Mirror::readAll() {
+    synced_ = false;
+    items_.clear();
+    firstRevision_ = 0;
+    readPage({}, ++generation_);
+}
+
+void Mirror::readPage(const std::string& after, std::uint64_t generation) {
+    context_.state.readRange(
+        bookkeeping::keys::live, after,
+        [this, after, generation](const protocol::ReadAnswer& answer) {
+            if (generation != generation_) return;
+            if (answer.result != protocol::StateResult::ok) {
+                context_.timers.after(context_.jittered(retryPause), [this, after, generation] {
+                    if (generation == generation_) readPage(after, generation);
+                });
+                return;
+            }
+            // Pages are read one after the other: following from the first one's revision brings
+            // again what changed meanwhile.
+            if (after.empty()) firstRevision_ = answer.revision;
+            lastRevision_ = answer.revision;
+            items_.insert(items_.end(), answer.items.begin(), answer.items.end());
+            if (answer.more && !answer.items.empty())
+                return readPage(answer.items.back().key, generation);
+            finishRead();
+            follow(generation);
+        });
+}
+
+void Mirror::finishRead() {
+    const auto now = context_.now();
+    {
+        auto ledger = context_.ledger.lock();
+        // What is durable is replaced; what was learnt from workers stays with its machine.
+        auto machines = std::move(ledger->machines);
+        ledger->jobs.clear();
+        ledger->machines.clear();
+        ledger->parts.clear();
+        ledger->nodes.clear();
+        ledger->shares.clear();
+        ledger->shareVersions.clear();
+        ledger->lastTerm = ledger->termVersion = 0;
+        for (const auto& item : items_) {
+            if (const auto slash = item.key.rfind('/');
+                item.key.starts_with(bookkeeping::keys::machine({}))) {
+                if (const auto old = machines.find(item.key.substr(slash + 1));
+                    old != machines.end()) {
+                    old->second.version = 0;
+                    ledger->machines.insert(machines.extract(old));
+                }
+            }
+            bookkeeping::applyEvent(*ledger, {item.key, item.value, item.version}, now);
+        }
+        ledger->rebuildClaims();
+        ledger->applied = firstRevision_;
+        spdlog::info("mirror: read {} records, {} jobs, {} machines, revision {}", items_.size(),
+                     ledger->jobs.size(), ledger->machines.size(), firstRevision_);
+    }
+    items_.clear();
+    catchUp();
+}
+
+void Mirror::catchUp() {
+    // Until the follow has passed the last page, a claim may be known and its machine not.
+    if (synced_ || context_.ledger.lock()->applied < lastRevision_) return;
+    synced_ = true;
+    onChange();
+}
+
+void Mirror::follow(std::uint64_t generation) {
+    const auto since = context_.ledger.lock()->applied;
+    context_.state.follow(
+        bookkeeping::keys::live, since, followWait,
+        [this, generation](const protocol::FollowAnswer& answer) {
+            if (generation != generation_) return;
+            if (answer.tooOld) return resync();
+            if (answer.result != protocol::StateResult::ok) {
+                context_.timers.after(context_.jittered(retryPause), [this, generation] {
+                    if (generation == generation_) follow(generation);
+                });
+                return;
+            }
+            {
+                auto ledger = context_.ledger.lock();
+                for (const auto& event : answer.events)
+                    if (!inFlight(event.key))
+                        bookkeeping::applyEvent(*ledger, event, context_.now());
+                ledger->applied = std::max(ledger->applied, answer.revision);
+            }
+            catchUp();
+            if (!answer.events.empty()) onChange();
+            const auto share =
+                context_.settings.stateRequests / static_cast<double>(context_.nodes.size());
+            const Seconds pause(1.0 / (share * followShareOfRequests));
+            context_.timers.after(ticks(pause), [this, generation] {
+                if (generation == generation_) follow(generation);
+            });
+        });
+}
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/mirror.h
@@ -0,0 +1,39 @@
+// Keeps the ledger a mirror of the live records: reads them all once, then follows the changes.
+#pragma once
+
+#include <functional>
+#include <set>
+
+#include "coordination/context.h"
+
+namespace fawnwheel::coordination {
+
+class Mirror {
+  public:
+    explicit Mirror(Context& context) : context_(context) {}
+
+    void start() { readAll(); }
+    // Everything anew: after a doubt about what the ledger holds.
+    void resync();
+    [[nodiscard]] bool synced() const { return synced_; }
+
+    // Whether one of our own transactions on this key is under way: its answer settles the key.
+    std::function<bool(const std::string& key)> inFlight = [](const std::string&) { return false; };
+    std::function<void()> onChange = [] {};
+
+  private:
+    void readAll();
+    void readPage(const std::string& after, std::uint64_t generation);
+    void follow(std::uint64_t generation);
+    void finishRead();
+    void catchUp();
+
+    Context& context_;
+    bool synced_ = false;
+    std::uint64_t generation_ = 0;
+    std::uint64_t firstRevision_ = 0;
+    std::uint64_t lastRevision_ = 0;
+    std::vector<protocol::Item> items_;
+};
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/moves.cpp
@@ -0,0 +1,306 @@
+#include "coordination/moves.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "bookkeeping/records.h"
+
+namespace fawnwheel::coordination {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto answerTimeout = 800ms;
+constexpr auto promiseLasts = 3s;
+constexpr std::size_t maxOffers = 16;
+// The thresholds' upper bounds come from the settings; a part that runs few tasks at a time is
+// congested by a shorter queue.
+constexpr double lowShareOfRunning = 0.1;
+
+}  // namespace
+
+void QueueWatch::sample(double queueLength, const Tuning& tuning) {
+    average_ = (1 - tuning.weight) * average_ + tuning.weight * queueLength;
+}
+
+double QueueWatch::moveProbability(double freedom, const Tuning& tuning) const {
+    if (average_ < tuning.low) return 0;
+    if (average_ > tuning.high) return 1;
+    const double base = (average_ - tuning.low) / (tuning.high - tuning.low) * tuning.probability;
+    if (count_ * base >= 1) return 1;
+    return std::clamp(base / (1 - count_ * base) * freedom, 0.0, 1.0);
+}
+
+void Moves::start() {
+    sampleAll();
+}
+
+QueueWatch::Tuning Moves::tuningFor(std::uint32_t part) {
+    double running = 0;
+    {
+        auto ledger = context_.ledger.lock();
+        for (const auto& [id, machine] : ledger->machines)
+            if (machine.part == part) running += static_cast<double>(machine.claims.size());
+    }
+    QueueWatch::Tuning tuning;
+    tuning.weight = context_.tuning.weight;
+    tuning.probability = context_.tuning.probability;
+    tuning.low = std::min(context_.tuning.low, std::max(1.0, running * lowShareOfRunning));
+    tuning.high = std::min(context_.tuning.high, std::max(tuning.low + 1, running));
+    return tuning;
+}
+
+double Moves::freedom(const Job& job, std::uint32_t part) {
+    const double most = job.spec.imageSize;
+    if (most <= 0) return 1;
+    auto ledger = context_.ledger.lock();
+    const bool cached =
+        std::any_of(ledger->machines.begin(), ledger->machines.end(), [&](const auto& entry) {
+            const Machine& machine = entry.second;
+            return machine.part == part && placement_.takesWork(machine) &&
+                   std::any_of(machine.images.begin(), machine.images.end(),
+                               [&](const auto& i) { return i.name == job.spec.image; });
+        });
+    const double local = cached ? most : 0;
+    return (most - local) / most;
+}
+
+void Moves::sampleAll() {
+    for (const auto part : membership_.activeParts()) samplePart(part);
+    context_.timers.after(ticks(context_.tuning.samplePeriod), [this] { sampleAll(); });
+}
+
+void Moves::samplePart(std::uint32_t part) {
+    auto& queue = queues_[part];
+    const auto tuning = tuningFor(part);
+    queue.sample(placement_.queueLength(part), tuning);
+    if (!membership_.leaseStands()) return;
+    std::vector<std::string> waiting;
+    {
+        auto ledger = context_.ledger.lock();
+        for (const auto& [id, job] : ledger->jobs)
+            if (!job.cancelled && !job.finishing &&
+                std::any_of(job.slices.begin(), job.slices.end(), [part](const Slice& s) {
+                    return s.part == part && s.untouched() && !s.leaving;
+                }))
+                waiting.push_back(id);
+    }
+    for (const auto& id : waiting) {
+        bool stranded = false;
+        double free = 0;
+        {
+            auto ledger = context_.ledger.lock();
+            const Job* job = ledger->job(id);
+            if (job == nullptr) continue;
+            // Work that no machine here could ever run counts as above high.
+            stranded = !placement_.everFits(*job, part);
+            free = freedom(*job, part);
+        }
+        queue.considered();
+        const double chance = queue.moveProbability(free, tuning);
+        if (stranded || std::uniform_real_distribution<>(0, 1)(context_.rng) < chance)
+            consider(part, id, stranded || queue.aboveHigh(tuning));
+    }
+}
+
+void Moves::consider(std::uint32_t part, const std::string& id, bool always) {
+    auto ledger = context_.ledger.lock();
+    Job* job = ledger->job(id);
+    if (job == nullptr) return;
+    const bool allHere = std::all_of(job->slices.begin(), job->slices.end(), [&](const Slice& s) {
+        return s.part == part && s.untouched() && s.version == 0 && !s.leaving;
+    });
+    if (job->undivided() || job->slices.size() == 1) {
+        if (allHere && job->part == part) offer(part, *job, job->slices.front(), true);
+        return;
+    }
+    for (auto& slice : job->slices) {
+        if (slice.part != part || !slice.untouched() || slice.leaving || slice.dirty) continue;
+        offer(part, *job, slice, false);
+        if (!always) return;
+    }
+}
+
+void Moves::offer(std::uint32_t part, Job& job, Slice& slice, bool wholeJob) {
+    if (offers_.size() >= maxOffers) return;
+    Offer next;
+    next.part = part;
+    next.job = job.spec.id;
+    next.slice = slice.index;
+    next.wholeJob = wholeJob;
+    next.tasks = wholeJob ? job.spec.tasks : static_cast<std::uint32_t>(slice.done.size());
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> order;  // room, part
+    {
+        auto ledger = context_.ledger.lock();
+        for (std::uint32_t other = 0; other < context_.partCount(); ++other) {
+            if (other == part || !ledger->nodes.contains(ledger->parts[other].owner)) continue;
+            const auto room = placement_.roomFor(job, other, next.tasks);
+            if (room > 0) order.emplace_back(room, other);
+        }
+    }
+    std::sort(order.rbegin(), order.rend());
+    for (const auto& [room, other] : order) next.peersLeft.push_back(other);
+    if (next.peersLeft.empty()) return;
+    setLeaving(next, true);
+    const auto ask = nextAsk_++;
+    offers_[ask] = std::move(next);
+    askNext(ask);
+}
+
+void Moves::setLeaving(const Offer& offer, bool leaving) {
+    auto ledger = context_.ledger.lock();
+    Job* job = ledger->job(offer.job);
+    if (job == nullptr) return;
+    for (auto& slice : job->slices)
+        if (offer.wholeJob || slice.index == offer.slice) slice.leaving = leaving;
+}
+
+void Moves::askNext(std::uint64_t ask) {
+    auto& offer = offers_[ask];
+    if (offer.peersLeft.empty()) {
+        // All have been asked in turn: the work stays.
+        setLeaving(offer, false);
+        offers_.erase(ask);
+        return;
+    }
+    offer.asked = offer.peersLeft.front();
+    offer.peersLeft.erase(offer.peersLeft.begin());
+    const auto owner = context_.ledger.lock()->parts[offer.asked].owner;
+    protocol::MoveAsk message{ask,         offer.asked,    offer.job,
+                              offer.slice, offer.wholeJob, offer.tasks};
+    if (owner == context_.settings.name) {
+        // Both parts are ours for the time being.
+        onAsk(owner, message);
+        return;
+    }
+    context_.network.sendFrame(owner, protocol::encodePeer({context_.settings.name, message}));
+    context_.timers.after(answerTimeout, [this, ask, asked = offer.asked] {
+        const auto found = offers_.find(ask);
+        if (found != offers_.end() && found->second.asked == asked) askNext(ask);
+    });
+}
+
+std::uint32_t Moves::promised(std::uint32_t part) {
+    const auto now = context_.now();
+    std::erase_if(promises_, [now](const Promise& p) { return p.until < now; });
+    std::uint32_t total = 0;
+    for (const auto& promise : promises_)
+        if (promise.part == part) total += promise.tasks;
+    return total;
+}
+
+void Moves::onAsk(const std::string& peer, const protocol::MoveAsk& ask) {
+    protocol::MoveAnswer answer{ask.ask, false};
+    {
+        auto ledger = context_.ledger.lock();
+        const Job* job = ledger->job(ask.job);
+        if (job != nullptr && membership_.active(ask.part) && membership_.leaseStands()) {
+            // Accept only while the queue stays below low: what has room now does not queue.
+            const auto room = placement_.roomFor(*job, ask.part, ask.tasks + promised(ask.part));
+            const double queue = placement_.queueLength(ask.part) + promised(ask.part) +
+                                 static_cast<double>(ask.tasks) - room;
+            answer.accepted = room > 0 && queue < tuningFor(ask.part).low;
+        }
+        if (answer.accepted)
+            promises_.push_back({ask.part, ask.tasks, context_.now() + promiseLasts});
+    }
+    if (peer == context_.settings.name) return onAnswer(answer);
+    context_.network.sendFrame(peer, protocol::encodePeer({context_.settings.name, answer}));
+}
+
+void Moves::onAnswer(const protocol::MoveAnswer& answer) {
+    const auto found = offers_.find(answer.ask);
+    // A late answer, when its peer was given up already.
+    if (found == offers_.end() || found->second.asked == context_.partCount()) return;
+    if (answer.accepted)
+        push(answer.ask);
+    else
+        askNext(answer.ask);
+}
+
+void Moves::push(std::uint64_t ask) {
+    Offer& offer = offers_[ask];
+    const auto target = offer.asked;
+    offer.asked = context_.partCount();  // no longer asking
+    protocol::Transaction transaction;
+    {
+        auto ledger = context_.ledger.lock();
+        Job* job = ledger->job(offer.job);
+        if (job == nullptr || job->cancelled || !membership_.active(offer.part)) {
+            setLeaving(offer, false);
+            offers_.erase(ask);
+            return;
+        }
+        transaction.conditions.push_back({bookkeeping::keys::job(offer.job), job->version});
+        if (offer.wholeJob) {
+            Job next = *job;
+            next.part = target;
+            transaction.changes.push_back(
+                {bookkeeping::keys::job(offer.job), bookkeeping::jobValue(next), 0});
+        } else {
+            Slice next = job->slices[offer.slice];
+            next.part = target;
+            const auto key = bookkeeping::keys::slice(offer.job, offer.slice);
+            transaction.conditions.push_back({key, next.version});
+            transaction.changes.push_back({key, bookkeeping::sliceValue(next), 0});
+        }
+    }
+    committer_.commit(offer.part, std::move(transaction),
+                      [this, ask, target](CommitResult result, std::uint64_t revision) {
+                          const auto found = offers_.find(ask);
+                          if (found == offers_.end()) return;
+                          const Offer made = found->second;
+                          offers_.erase(found);
+                          setLeaving(made, false);
+                          if (result != CommitResult::done) return;
+                          queues_[made.part].moved();
+                          spdlog::info("move: {} of job {}, {} tasks, part {} to {}",
+                                       made.wholeJob ? "all" : "a slice", made.job, made.tasks,
+                                       made.part, target);
+                          auto ledger = context_.ledger.lock();
+                          Job* job = ledger->job(made.job);
+                          if (job == nullptr) return;
+                          if (made.wholeJob) {
+                              job->part = target;
+                              job->version = std::max(job->version, revision);
+                              for (auto& slice : job->slices)
+                                  if (slice.version == 0) slice.part = target;
+                          } else {
+                              job->slices[made.slice].part = target;
+                              job->slices[made.slice].version =
+                                  std::max(job->slices[made.slice].version, revision);
+                              job->slices[made.slice].dirty = false;
+                          }
+                      });
+}
+
+std::uint32_t Moves::mapJob(const Job& job) {
+    // Greedy: where most of it can start now; else where the queue is shortest for the machines
+    // that could run it.
+    std::uint32_t best = context_.naturalPart;
+    std::tuple<int, int, double> bestScore{-1, -1, 0};
+    auto ledger = context_.ledger.lock();
+    for (std::uint32_t i = 0; i < context_.partCount(); ++i) {
+        // Equal parts: one's own first.
+        const auto part = (context_.naturalPart + i) % context_.partCount();
+        if (!ledger->nodes.contains(ledger->parts[part].owner)) continue;
+        const auto queue = static_cast<int>(placement_.queueLength(part));
+        const auto room = static_cast<int>(
+            placement_.roomFor(job, part, job.spec.tasks + static_cast<std::uint32_t>(queue)));
+        double running = 1;
+        for (const auto& [id, machine] : ledger->machines)
+            if (machine.part == part) running += static_cast<double>(machine.claims.size());
+        const std::tuple score{placement_.everFits(job, part) ? 1 : 0,
+                               std::clamp(room - queue, 0, static_cast<int>(job.spec.tasks)),
+                               -queue / running};
+        if (score > bestScore) {
+            bestScore = score;
+            best = part;
+        }
+    }
+    return best;
+}
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/moves.h
@@ -0,0 +1,86 @@
+// The paper's runtime adaptation: watch the ready queue, and push unstarted work to a peer.
+#pragma once
+
+#include <random>
+
+#include "coordination/committer.h"
+#include "coordination/placement.h"
+#include "protocol/peer_codec.h"
+
+namespace fawnwheel::coordination {
+
+// Exponentially weighted average of the queue and the RED-like probability of a move.
+class QueueWatch {
+  public:
+    struct Tuning {
+        double weight = 0.2;
+        double low = 20;
+        double high = 200;
+        double probability = 0.1;
+    };
+
+    void sample(double queueLength, const Tuning& tuning);
+    // Probability of moving one job, given its stickiness from 0 (stays) to 1 (free to go).
+    [[nodiscard]] double moveProbability(double freedom, const Tuning& tuning) const;
+    void considered() { ++count_; }
+    void moved() { count_ = 0; }
+    [[nodiscard]] double average() const { return average_; }
+    [[nodiscard]] bool aboveHigh(const Tuning& tuning) const { return average_ > tuning.high; }
+
+  private:
+    double average_ = 0;
+    double count_ = 0;  // jobs seen since the last move
+};
+
+class Moves {
+  public:
+    Moves(Context& context, Membership& membership, Committer& committer, Placement& placement)
+        : context_(context),
+          membership_(membership),
+          committer_(committer),
+          placement_(placement) {}
+
+    void start();
+    void onAsk(const std::string& peer, const protocol::MoveAsk& ask);
+    void onAnswer(const protocol::MoveAnswer& answer);
+    // Where a new job starts out.
+    [[nodiscard]] std::uint32_t mapJob(const Job& job);
+
+  private:
+    struct Offer {
+        std::uint32_t part = 0;  // ours
+        std::string job;
+        std::uint32_t slice = 0;
+        bool wholeJob = false;
+        std::uint32_t tasks = 0;
+        std::vector<std::uint32_t> peersLeft;  // parts to ask, in turn
+        std::uint32_t asked = 0;               // part
+    };
+    struct Promise {
+        std::uint32_t part = 0;
+        std::uint32_t tasks = 0;
+        SteadyTime until{};
+    };
+
+    void sampleAll();
+    void samplePart(std::uint32_t part);
+    void consider(std::uint32_t part, const std::string& id, bool always);
+    void offer(std::uint32_t part, Job& job, Slice& slice, bool wholeJob);
+    void askNext(std::uint64_t ask);
+    void push(std::uint64_t ask);
+    void setLeaving(const Offer& offer, bool leaving);
+    [[nodiscard]] QueueWatch::Tuning tuningFor(std::uint32_t part);
+    [[nodiscard]] double freedom(const Job& job, std::uint32_t part);
+    [[nodiscard]] std::uint32_t promised(std::uint32_t part);
+
+    Context& context_;
+    Membership& membership_;
+    Committer& committer_;
+    Placement& placement_;
+    std::map<std::uint32_t, QueueWatch> queues_;
+    std::map<std::uint64_t, Offer> offers_;
+    std::vector<Promise> promises_;
+    std::uint64_t nextAsk_ = 1;
+};
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/placement.cpp
@@ -0,0 +1,329 @@
+#include "coordination/placement.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace fawnwheel::coordination {
+
+namespace {
+
+using protocol::JobKind;
+using protocol::TaskState;
+
+constexpr double silentReports = 2.5;  // no new work after so many missed reports
+constexpr double unlimited = 1e12;
+constexpr std::uint32_t placementsPerRun = 64;
+constexpr double sharedFetch = 0.4;        // of a fetch that another task has begun
+constexpr double idleGpuSeconds = 25;      // what using up a GPU machine's CPUs counts as
+constexpr double emptyMachineSeconds = 4;  // what breaking into an empty machine counts as
+
+transport::WallTime plus(transport::WallTime at, Seconds by) {
+    return at + std::chrono::duration_cast<transport::WallTime::duration>(by);
+}
+
+}  // namespace
+
+std::map<std::string, std::uint32_t> zoneUseOf(const Ledger& ledger, const Job& job) {
+    std::map<std::string, std::uint32_t> use;
+    for (const auto& slice : job.slices) {
+        for (const auto& claim : slice.claims) {
+            // A machine we have lost sight of still counts, wherever it is.
+            const auto found = ledger.machines.find(claim.machine);
+            ++use[found == ledger.machines.end() ? std::string() : found->second.zone];
+        }
+    }
+    return use;
+}
+
+bool Placement::typeAllowed(const protocol::JobSpec& spec, const MachineType& type,
+                            const std::string& zone, bool spot) {
+    if (spot && !spec.spot) return false;
+    if (spec.zone && *spec.zone != zone) return false;
+    if (spec.types &&
+        std::find(spec.types->begin(), spec.types->end(), type.name) == spec.types->end())
+        return false;
+    return spec.each.fits(type.capacity);
+}
+
+bool Placement::takesWork(const Machine& machine) const {
+    const auto now = context_.now();
+    return !machine.retired && !machine.noticeEnds && machine.heard &&
+           now - *machine.heard < ticks(context_.settings.report * silentReports) &&
+           now >= machine.notBefore;
+}
+
+transport::WallTime Placement::latestStart(const Job& job) const {
+    auto latest = transport::WallTime::max();
+    for (const auto& objective : context_.settings.objectives) {
+        if (objective.jobClass != job.spec.jobClass) continue;
+        if (objective.kind == app::ObjectiveKind::wait)
+            latest = std::min(latest, plus(job.submitted, objective.within));
+        if (objective.kind == app::ObjectiveKind::finished)
+            latest = std::min(latest, plus(job.submitted, objective.within - job.spec.estimate));
+    }
+    if (job.spec.deadline)
+        latest = std::min(latest, plus(job.submitted, *job.spec.deadline - job.spec.estimate));
+    // Nothing expected: arrival order, behind what has an aim but not for ever.
+    if (latest == transport::WallTime::max())
+        latest = plus(job.submitted, std::chrono::minutes(10));
+    return latest;
+}
+
+std::uint64_t Placement::nextAttempt(std::uint32_t part) {
+    // Terms grow over all owners, so attempts do too, without a record of their own.
+    return (membership_.term(part) << taskBits) | (++sequence_ & ((1U << taskBits) - 1));
+}
+
+Resources Placement::teamLeft(Ledger& ledger, const std::string& name, std::uint32_t part) const {
+    Resources left{unlimited, unlimited, unlimited};
+    const auto* team = context_.team(name);
+    if (team == nullptr) return left;
+    const auto used = ledger.usedBy(name, part);
+    const auto parts = static_cast<double>(context_.partCount());
+    bookkeeping::TeamShare share{team->cpusMax / parts, team->gpusMax / parts};
+    if (const auto known = ledger.shares.find(name); known != ledger.shares.end())
+        if (const auto mine = known->second.find(part); mine != known->second.end())
+            share = mine->second;
+    if (team->cpusMax > 0) left.cpus = share.cpus - used.cpus;
+    if (team->gpusMax > 0) left.gpus = share.gpus - used.gpus;
+    return left;
+}
+
+std::vector<Placement::Ready> Placement::readyJobs(Ledger& ledger, std::uint32_t part) {
+    std::vector<Ready> ready;
+    const auto now = context_.now();
+    for (auto& [id, job] : ledger.jobs) {
+        if (job.cancelled || job.finishing || now < job.notBefore) continue;
+        std::uint32_t tasks = 0;
+        for (const auto& slice : job.slices)
+            if (slice.part == part && !slice.leaving)
+                tasks += static_cast<std::uint32_t>(slice.done.size()) - slice.doneCount -
+                         static_cast<std::uint32_t>(slice.claims.size());
+        if (job.spec.kind == JobKind::gang && job.anyClaim()) {
+            if (job.part == part) stopBrokenGang(job);
+            continue;
+        }
+        if (tasks > 0) ready.push_back({&job, tasks});
+    }
+    std::stable_sort(ready.begin(), ready.end(), [this](const Ready& a, const Ready& b) {
+        if (a.job->spec.priority != b.job->spec.priority)
+            return a.job->spec.priority < b.job->spec.priority;
+        return latestStart(*a.job) < latestStart(*b.job);
+    });
+    return ready;
+}
+
+void Placement::stopBrokenGang(Job& job) {
+    if (job.complete() || job.claimedTasks() == job.spec.tasks) return;
+    // The rest would wait for a task that does not come back under this attempt.
+    for (auto& slice : job.slices) {
+        for (auto& claim : slice.claims) {
+            claim.giveUp = true;
+            claim.stopGrace = Seconds(0);
+        }
+    }
+}
+
+std::uint32_t Placement::queueLength(std::uint32_t part) {
+    std::uint32_t total = 0;
+    auto ledger = context_.ledger.lock();
+    for (const auto& ready : readyJobs(*ledger, part)) total += ready.tasks;
+    return total;
+}
+
+bool Placement::allowed(const Job& job, const Machine& machine,
+                        const std::map<std::string, std::uint32_t>& zoneUse) const {
+    const auto* type = context_.type(machine.type);
+    if (type == nullptr || !typeAllowed(job.spec, *type, machine.zone, machine.spot)) return false;
+    if (job.failedOn.contains(machine.id)) return false;
+    if (job.spec.oneZone)
+        for (const auto& [zone, count] : zoneUse)
+            if (count > 0 && zone != machine.zone) return false;
+    if (job.spec.spread) {
+        const auto here = zoneUse.find(machine.zone);
+        const auto lost = zoneUse.find(std::string());
+        const auto count =
+            (here == zoneUse.end() ? 0 : here->second) + (lost == zoneUse.end() ? 0 : lost->second);
+        if (count + 1 > (job.spec.tasks + 1) / 2) return false;
+    }
+    Resources room = type->capacity;
+    room -= machine.used;
+    return job.spec.each.fits(room);
+}
+
+double Placement::cost(const Ledger& ledger, const Job& job, const Machine& machine,
+                       const MachineType& type) const {
+    double seconds = 0;
+    const bool cached = std::any_of(machine.images.begin(), machine.images.end(),
+                                    [&](const auto& i) { return i.name == job.spec.image; });
+    if (!cached) {
+        const double fetch = job.spec.imageSize / type.fetchRate;
+        double fetching = 0;
+        bool begun = false;
+        std::set<std::string> others;
+        for (const auto& ref : machine.claims) {
+            const auto other = ledger.jobs.find(ref.job);
+            if (other == ledger.jobs.end()) continue;
+            for (const auto& slice : other->second.slices)
+                for (const auto& claim : slice.claims)
+                    if (claim.task == ref.task && claim.state == TaskState::fetching) {
+                        begun = begun || other->second.spec.image == job.spec.image;
+                        others.insert(other->second.spec.image);
+                    }
+        }
+        fetching = static_cast<double>(others.size());
+        seconds += begun ? fetch * sharedFetch : fetch * (1 + fetching);
+    }
+    if (job.spec.each.gpus <= 0 && type.capacity.gpus > 0)
+        seconds += idleGpuSeconds * job.spec.each.cpus / std::max(1.0, type.capacity.cpus) +
+                   idleGpuSeconds;
+    const double freeShare =
+        1.0 - (machine.used.cpus + job.spec.each.cpus) / std::max(1.0, type.capacity.cpus);
+    seconds += emptyMachineSeconds * freeShare;
+    return seconds;
+}
+
+Machine* Placement::choose(Ledger& ledger, std::uint32_t part, const Job& job,
+                           const std::map<std::string, std::uint32_t>& zoneUse) {
+    Machine* best = nullptr;
+    double bestCost = std::numeric_limits<double>::max();
+    for (auto& [id, machine] : ledger.machines) {
+        if (machine.part != part || !takesWork(machine) || !allowed(job, machine, zoneUse))
+            continue;
+        const double value = cost(ledger, job, machine, *context_.type(machine.type));
+        if (value < bestCost) {
+            bestCost = value;
+            best = &machine;
+        }
+    }
+    return best;
+}
+
+std::uint32_t Placement::placeArray(Ledger& ledger, std::uint32_t part, Job& job, Resources& left,
+                                    bool& overShare) {
+    auto zoneUse = zoneUseOf(ledger, job);
+    std::uint32_t placed = 0;
+    for (auto& slice : job.slices) {
+        if (slice.part != part || slice.leaving) continue;
+        for (std::uint32_t i = 0; i < slice.done.size(); ++i) {
+            const auto task = slice.first + i;
+            if (slice.done[i] || slice.claimOf(task) != nullptr) continue;
+            if (placed >= placementsPerRun) return placed;
+            if (!job.spec.each.fits(left)) {
+                overShare = true;
+                return placed;
+            }
+            Machine* machine = choose(ledger, part, job, zoneUse);
+            if (machine == nullptr) return placed;
+            Claim claim;
+            claim.task = task;
+            claim.machine = machine->id;
+            claim.attempt = nextAttempt(part);
+            claim.made = context_.now();
+            ++zoneUse[machine->zone];
+            left -= job.spec.each;
+            ledger.addClaim(job, slice, std::move(claim));
+            ++placed;
+        }
+    }
+    return placed;
+}
+
+bool Placement::placeGang(Ledger& ledger, std::uint32_t part, Job& job, Resources& left,
+                          bool& overShare) {
+    Resources all;
+    for (std::uint32_t i = 0; i < job.spec.tasks; ++i) all += job.spec.each;
+    if (!all.fits(left)) {
+        overShare = true;
+        return false;
+    }
+    // One zone after the other for a gang that must stay together; else all at once.
+    std::vector<std::string> zones{std::string()};
+    if (job.spec.oneZone) {
+        std::set<std::string> found;
+        for (const auto& [id, machine] : ledger.machines)
+            if (machine.part == part) found.insert(machine.zone);
+        zones.assign(found.begin(), found.end());
+    }
+    const auto attempt = nextAttempt(part);
+    std::vector<std::uint32_t> best;
+    for (const auto& zone : zones) {
+        std::map<std::string, std::uint32_t> use;
+        if (!zone.empty()) use[zone] = 1;  // holds the choice to this zone
+        std::uint32_t placed = 0;
+        for (auto& slice : job.slices) {
+            for (std::uint32_t i = 0; i < slice.done.size(); ++i) {
+                Machine* machine = choose(ledger, part, job, use);
+                if (machine == nullptr) break;
+                Claim claim;
+                claim.task = slice.first + i;
+                claim.machine = machine->id;
+                claim.attempt = attempt;
+                claim.made = context_.now();
+                ++use[machine->zone];
+                ledger.addClaim(job, slice, std::move(claim));
+                ++placed;
+            }
+        }
+        if (placed == job.spec.tasks) {
+            left -= all;
+            return true;
+        }
+        for (auto& slice : job.slices) {
+            while (!slice.claims.empty()) ledger.removeClaim(job, slice, slice.claims.front().task);
+            slice.dirty = false;
+        }
+    }
+    return false;
+}
+
+std::vector<Unplaced> Placement::run(std::uint32_t part) {
+    std::vector<Unplaced> unplaced;
+    auto ledger = context_.ledger.lock();
+    std::map<std::string, Resources> left;
+    for (auto& ready : readyJobs(*ledger, part)) {
+        Job& job = *ready.job;
+        const auto& team = job.spec.team;
+        if (!left.contains(team)) left[team] = teamLeft(*ledger, team, part);
+        bool overShare = false;
+        std::uint32_t placed = 0;
+        if (job.spec.kind == JobKind::gang)
+            placed = placeGang(*ledger, part, job, left[team], overShare) ? ready.tasks : 0;
+        else
+            placed = placeArray(*ledger, part, job, left[team], overShare);
+        if (placed < ready.tasks)
+            unplaced.push_back({job.spec.id, ready.tasks - placed, overShare});
+    }
+    return unplaced;
+}
+
+std::uint32_t Placement::roomFor(const Job& job, std::uint32_t part, std::uint32_t most) {
+    auto ledger = context_.ledger.lock();
+    std::uint32_t room = 0;
+    for (const auto& [id, machine] : ledger->machines) {
+        if (machine.part != part || machine.retired || machine.noticeEnds) continue;
+        const auto* type = context_.type(machine.type);
+        if (type == nullptr || !typeAllowed(job.spec, *type, machine.zone, machine.spot)) continue;
+        Resources free = type->capacity;
+        free -= machine.used;
+        while (room < most && job.spec.each.fits(free)) {
+            free -= job.spec.each;
+            ++room;
+        }
+    }
+    return room;
+}
+
+bool Placement::everFits(const Job& job, std::uint32_t part) {
+    auto ledger = context_.ledger.lock();
+    return std::any_of(ledger->machines.begin(), ledger->machines.end(), [&](const auto& entry) {
+        const Machine& machine = entry.second;
+        const auto* type = context_.type(machine.type);
+        return machine.part == part && !machine.retired && type != nullptr &&
+               typeAllowed(job.spec, *type, machine.zone, machine.spot);
+    });
+}
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/placement.h
@@ -0,0 +1,66 @@
+// Which waiting task goes to which machine of a part.
+#pragma once
+
+#include "coordination/membership.h"
+
+namespace fawnwheel::coordination {
+
+// Work of a part that found no machine now.
+struct Unplaced {
+    std::string job;
+    std::uint32_t tasks = 0;
+    bool overShare = false;  // only the team's limit keeps it waiting
+};
+
+class Placement {
+  public:
+    Placement(Context& context, Membership& membership)
+        : context_(context), membership_(membership) {}
+
+    // Claims machines for what can start; the claims become durable before anything is sent.
+    std::vector<Unplaced> run(std::uint32_t part);
+
+    // Ready tasks of the part: to start, without a place (the paper's readyQ).
+    [[nodiscard]] std::uint32_t queueLength(std::uint32_t part);
+    // How many more tasks like the job's the part's machines could start right now.
+    [[nodiscard]] std::uint32_t roomFor(const Job& job, std::uint32_t part, std::uint32_t most);
+    // Whether any machine of the part, were it empty, could run one task of the job.
+    [[nodiscard]] bool everFits(const Job& job, std::uint32_t part);
+
+    [[nodiscard]] static bool typeAllowed(const protocol::JobSpec& spec, const MachineType& type,
+                                          const std::string& zone, bool spot);
+    [[nodiscard]] bool takesWork(const Machine& machine) const;
+    // When a job should have started at the latest to meet what is expected of it.
+    [[nodiscard]] transport::WallTime latestStart(const Job& job) const;
+
+    static constexpr std::uint32_t taskBits = 24;
+
+  private:
+    struct Ready {
+        Job* job = nullptr;
+        std::uint32_t tasks = 0;
+    };
+
+    std::vector<Ready> readyJobs(Ledger& ledger, std::uint32_t part);
+    std::uint32_t placeArray(Ledger& ledger, std::uint32_t part, Job& job, Resources& left,
+                             bool& overShare);
+    bool placeGang(Ledger& ledger, std::uint32_t part, Job& job, Resources& left, bool& overShare);
+    void stopBrokenGang(Job& job);
+    Machine* choose(Ledger& ledger, std::uint32_t part, const Job& job,
+                    const std::map<std::string, std::uint32_t>& zoneUse);
+    [[nodiscard]] bool allowed(const Job& job, const Machine& machine,
+                               const std::map<std::string, std::uint32_t>& zoneUse) const;
+    [[nodiscard]] double cost(const Ledger& ledger, const Job& job, const Machine& machine,
+                              const MachineType& type) const;
+    [[nodiscard]] Resources teamLeft(Ledger& ledger, const std::string& team,
+                                     std::uint32_t part) const;
+    std::uint64_t nextAttempt(std::uint32_t part);
+
+    Context& context_;
+    Membership& membership_;
+    std::uint64_t sequence_ = 0;
+};
+
+std::map<std::string, std::uint32_t> zoneUseOf(const Ledger& ledger, const Job& job);
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/reports.cpp
@@ -0,0 +1,346 @@
+#include "coordination/reports.h"
+
+#include <spdlog/spdlog.h>
+
+#include "protocol/names.h"
+
+namespace fawnwheel::coordination {
+
+namespace {
+
+using namespace std::chrono_literals;
+using protocol::Command;
+using protocol::CommandKind;
+using protocol::ExitCause;
+using protocol::TaskState;
+
+constexpr double leaseDrift = 1.002;
+constexpr auto leaseMargin = 1500ms;
+constexpr auto orderTimeout = 2s;
+constexpr auto refusedPause = 3s;  // a machine that had no room, or knew no such job
+constexpr int errorsToQuarantine = 2;
+constexpr auto quarantine = 10min;
+constexpr auto firstBackoff = 2s;
+constexpr auto longestBackoff = 60s;
+
+ReportAnswer misdirected(const std::string& node) {
+    return {421, protocol::encodeCbor(protocol::encodeReportTo(node))};
+}
+
+const protocol::TaskReport* find(const protocol::WorkerReport& report,
+                                 const bookkeeping::TaskRef& ref) {
+    for (const auto& task : report.tasks)
+        if (task.index == ref.task && task.attempt == ref.attempt && task.job == ref.job)
+            return &task;
+    return nullptr;
+}
+
+}  // namespace
+
+ReportAnswer Reports::handle(const protocol::WorkerReport& report) {
+    auto ledger = context_.ledger.lock();
+    Machine* machine = ledger->machine(report.machine);
+    if (machine == nullptr) {
+        const auto& first = ledger->parts[0];
+        if (membership_.active(0)) {
+            onUnassigned(report);
+            return {503, {}};
+        }
+        return ledger->nodes.contains(first.owner) && first.owner != context_.settings.name
+                   ? misdirected(first.owner)
+                   : ReportAnswer{503, {}};
+    }
+    const auto& part = ledger->parts[machine->part];
+    if (part.owner != context_.settings.name)
+        return ledger->nodes.contains(part.owner) ? misdirected(part.owner) : ReportAnswer{503, {}};
+    if (!membership_.active(machine->part) || !membership_.mayAnswerWorkers()) return {503, {}};
+    if (report.token > part.term) {
+        // It came from a part with a higher term. A 200 that the worker must drop would hold it
+        // here while its lease runs out.
+        membership_.raiseTerm(machine->part);
+        return {503, {}};
+    }
+    // A repeat or a late copy proves nothing new, and its sender waits no more.
+    if (machine->heard && std::pair(report.session, report.sequence) <=
+                              std::pair(machine->session, machine->sequence))
+        return {503, {}};
+    takeIn(*ledger, *machine, report, part.term);
+
+    std::vector<Command> commands;
+    for (const auto& task : report.tasks) takeTask(*ledger, *machine, task, commands);
+    addStarts(*ledger, *machine, report, commands);
+    machine->silentSince = context_.now();
+    return {200, protocol::encodeCbor(protocol::encodeCommands(part.term, commands))};
+}
+
+void Reports::takeIn(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report,
+                     std::uint64_t term) {
+    const auto now = context_.now();
+    if (!machine.heard)
+        spdlog::debug("machine {}: first report to part {}", machine.id, machine.part);
+    machine.address = report.address;
+    if (machine.session != report.session) machine.images.clear();
+    machine.session = report.session;
+    machine.sequence = report.sequence;
+    machine.tokenSeen = report.token;
+    machine.heard = now;
+    if (report.notice && !machine.noticeEnds) {
+        spdlog::info("machine {}: notice, {:.1f} s", machine.id, report.notice->count());
+        machine.noticeEnds = now + ticks(*report.notice);
+        // The notice may be half as long as it says: save at once.
+        for (const auto& ref : machine.claims) {
+            Job* job = ledger.job(ref.job);
+            Slice* slice = job == nullptr ? nullptr : job->sliceOf(ref.task);
+            Claim* claim = slice == nullptr ? nullptr : slice->claimOf(ref.task);
+            if (claim == nullptr) continue;
+            if (!claim->seen) claim->giveUp = true;
+            if (job->spec.checkpoint.count() > 0 || claim->state != TaskState::running)
+                claim->stopGrace = job->spec.save;
+        }
+        onChange();
+    }
+    if (report.token != term) return;
+    // The worker has seen our term, so it accepts no older owner's answers any more, and it has
+    // one report in flight at a time: what this report lacks is not on the machine and can only
+    // come to it by an answer of ours from now on.
+    const auto claims = machine.claims;
+    for (const auto& ref : claims) {
+        if (find(report, ref) != nullptr) continue;
+        Job* job = ledger.job(ref.job);
+        Slice* slice = job == nullptr ? nullptr : job->sliceOf(ref.task);
+        Claim* claim = slice == nullptr ? nullptr : slice->claimOf(ref.task);
+        if (claim == nullptr || claim->attempt != ref.attempt || !claim->durable) continue;
+        // Unless it is still to be started.
+        if (!claim->seen && !claim->giveUp && !job->cancelled && !machine.retired) continue;
+        spdlog::debug("task {}/{}: not on {} (any more)", ref.job, ref.task, machine.id);
+        ledger.removeClaim(*job, *slice, ref.task);
+        onChange();
+    }
+}
+
+void Reports::noteImage(Machine& machine, const Job& job) {
+    auto& images = machine.images;
+    std::erase_if(images, [&](const auto& i) { return i.name == job.spec.image; });
+    images.push_front({job.spec.image, job.spec.imageSize});
+    const auto* type = context_.type(machine.type);
+    double total = 0;
+    for (const auto& image : images) total += image.size;
+    while (type != nullptr && images.size() > 1 && total > type->cacheSize) {
+        total -= images.back().size;
+        images.pop_back();
+    }
+}
+
+void Reports::takeTask(Ledger& ledger, Machine& machine, const protocol::TaskReport& task,
+                       std::vector<Command>& commands) {
+    Job* job = ledger.job(task.job);
+    Slice* slice = job == nullptr ? nullptr : job->sliceOf(task.index);
+    Claim* claim = slice == nullptr ? nullptr : slice->claimOf(task.index);
+    const bool ours =
+        claim != nullptr && claim->machine == machine.id && claim->attempt == task.attempt;
+    if (!ours) {
+        // Forgetting lets a repeated start run it once more; no start of ours can follow, since
+        // the claim is gone, durably.
+        if (task.state == TaskState::exited) {
+            if (slice == nullptr || slice->part != machine.part || !slice->dirty)
+                commands.push_back({CommandKind::forget, task.job, task.index, task.attempt, {}});
+            return;
+        }
+        const bool adoptable = job != nullptr && slice != nullptr && claim == nullptr &&
+                               !job->cancelled && !job->finishing && slice->part == machine.part &&
+                               !slice->done[task.index - slice->first] &&
+                               job->spec.kind != protocol::JobKind::gang;
+        if (!adoptable) {
+            commands.push_back({CommandKind::stop, task.job, task.index, task.attempt, {}});
+            return;
+        }
+        spdlog::info("task {}/{}: found on {} without a record", task.job, task.index, machine.id);
+        Claim found;
+        found.task = task.index;
+        found.machine = machine.id;
+        found.attempt = task.attempt;
+        found.seen = true;
+        found.state = task.state;
+        found.made = context_.now();
+        ledger.addClaim(*job, *slice, std::move(found));
+        onChange();
+        return;
+    }
+    claim->seen = true;
+    claim->state = task.state;
+    if (task.state == TaskState::exited)
+        return takeExit(ledger, machine, *job, *slice, *claim, task);
+    if (task.state != TaskState::fetching) noteImage(machine, *job);
+    if (task.state == TaskState::running && !claim->ran) claim->ran = context_.now();
+    if (job->cancelled || machine.retired)
+        commands.push_back({CommandKind::stop, task.job, task.index, task.attempt, {}});
+    else if (claim->stopGrace && task.state != TaskState::saving)
+        commands.push_back(
+            {CommandKind::stop, task.job, task.index, task.attempt, *claim->stopGrace});
+}
+
+void Reports::takeExit(Ledger& ledger, Machine& machine, Job& job, Slice& slice, Claim& claim,
+                       const protocol::TaskReport& task) {
+    if (!claim.durable) return;  // its record is being written; the report will say it again
+    const auto now = context_.now();
+    spdlog::debug("task {}/{}: ended on {}, cause {}", task.job, task.index, machine.id,
+                  static_cast<int>(task.cause));
+    switch (task.cause) {
+        case ExitCause::done:
+            machine.errors = 0;
+            slice.markDone(task.index);
+            // The tasks of a gang complete together.
+            if (job.spec.kind == protocol::JobKind::gang)
+                for (auto& other : job.slices) {
+                    for (auto t = other.first; t < other.first + other.done.size(); ++t)
+                        other.markDone(t);
+                    other.dirty = true;
+                }
+            break;
+        case ExitCause::error:
+            job.failedOn.insert(machine.id);
+            ++job.failures;
+            // A faulty machine fails the tasks of any job; a job with a mistake fails anywhere
+            // and must not drive all machines into quarantine.
+            if (job.failedOn.size() < 3 && ++machine.errors >= errorsToQuarantine) {
+                spdlog::info("machine {}: quarantined", machine.id);
+                machine.notBefore = now + quarantine;
+            } else {
+                machine.notBefore = std::max(machine.notBefore, now + refusedPause);
+            }
+            if (job.failedOn.size() >= 3)
+                job.notBefore =
+                    now + std::min<Duration>(longestBackoff,
+                                             firstBackoff * (1 << std::min(job.failures, 5)));
+            break;
+        case ExitCause::noRoom:
+        case ExitCause::busy:
+            machine.notBefore = now + refusedPause;
+            break;
+        case ExitCause::unknown:
+            job.notBefore = now + refusedPause;
+            break;
+        case ExitCause::stopped:
+        case ExitCause::peersGone:
+        case ExitCause::alone:
+            break;
+    }
+    ledger.removeClaim(job, slice, task.index);
+    if (machine.claims.empty()) machine.idleSince = now;
+    onChange();
+}
+
+bool Reports::startable(const Job& job, const Claim& claim) {
+    if (!claim.durable || claim.giveUp || claim.stopGrace || job.cancelled || job.finishing)
+        return false;
+    if (job.spec.kind != protocol::JobKind::gang) return true;
+    // A gang is started only when every task has its durable place.
+    std::size_t placed = 0;
+    for (const auto& slice : job.slices) {
+        for (const auto& other : slice.claims)
+            if (other.attempt == claim.attempt && other.durable) ++placed;
+    }
+    return placed == job.spec.tasks;
+}
+
+void Reports::addStarts(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report,
+                        std::vector<Command>& commands) {
+    // Without the state service a start would rest on records that may have changed.
+    if (!membership_.leaseStands() || machine.retired || machine.noticeEnds) return;
+    for (const auto& ref : machine.claims) {
+        if (find(report, ref) != nullptr) continue;
+        Job* job = ledger.job(ref.job);
+        Slice* slice = job == nullptr ? nullptr : job->sliceOf(ref.task);
+        const Claim* claim = slice == nullptr ? nullptr : slice->claimOf(ref.task);
+        if (claim == nullptr || claim->attempt != ref.attempt || slice->part != machine.part)
+            continue;
+        if (startable(*job, *claim))
+            commands.push_back({CommandKind::start, ref.job, ref.task, ref.attempt, {}});
+    }
+}
+
+void Reports::onPartActive(std::uint32_t part) {
+    const auto now = context_.now();
+    auto ledger = context_.ledger.lock();
+    for (auto& [id, machine] : ledger->machines) {
+        if (machine.part != part) continue;
+        machine.heard.reset();
+        machine.session = machine.sequence = 0;
+        machine.noticeEnds.reset();
+        machine.silentSince = machine.known = machine.idleSince =
+            now + Membership::confirmationLasts;
+    }
+    for (auto& [id, job] : ledger->jobs)
+        for (auto& slice : job.slices)
+            if (slice.part == part)
+                for (auto& claim : slice.claims) {
+                    // It may have been started or not: only its machine's report tells.
+                    claim.seen = false;
+                    claim.stopGrace.reset();
+                }
+}
+
+void Reports::stopNow(const std::string& id) {
+    std::map<std::string, std::vector<Command>> orders;
+    auto ledger = context_.ledger.lock();
+    Job* job = ledger->job(id);
+    if (job == nullptr) return;
+    for (const auto& slice : job->slices) {
+        if (!membership_.active(slice.part)) continue;
+        for (const auto& claim : slice.claims)
+            if (claim.durable)
+                orders[claim.machine].push_back(
+                    {CommandKind::stop, id, claim.task, claim.attempt,
+                     claim.stopGrace && !job->cancelled ? *claim.stopGrace : Seconds(0)});
+    }
+    for (const auto& [name, commands] : orders) {
+        const Machine* machine = ledger->machine(name);
+        if (machine == nullptr || machine->address.empty() || !machine->heard) continue;
+        auto body = protocol::encodeCommands(membership_.term(machine->part), commands);
+        body[protocol::wire::session] = machine->session;
+        context_.network.call(machine->address,
+                              {"POST", protocol::wire::pathOrders, protocol::encodeCbor(body)},
+                              orderTimeout, [](const std::optional<transport::HttpResponse>&) {});
+    }
+}
+
+void Reports::releaseClaims(Machine& machine, const char* why) {
+    auto ledger = context_.ledger.lock();
+    const auto claims = machine.claims;
+    if (!claims.empty())
+        spdlog::info("machine {}: {} tasks gone, {}", machine.id, claims.size(), why);
+    for (const auto& ref : claims) {
+        Job* job = ledger->job(ref.job);
+        Slice* slice = job == nullptr ? nullptr : job->sliceOf(ref.task);
+        const Claim* claim = slice == nullptr ? nullptr : slice->claimOf(ref.task);
+        if (claim == nullptr || claim->attempt != ref.attempt || !claim->durable) continue;
+        ledger->removeClaim(*job, *slice, ref.task);
+    }
+    if (!claims.empty()) onChange();
+}
+
+void Reports::expireSilent(std::uint32_t part) {
+    const auto now = context_.now();
+    const auto lease = ticks(context_.settings.lease * leaseDrift) + leaseMargin;
+    auto ledger = context_.ledger.lock();
+    for (auto& [id, machine] : ledger->machines) {
+        // `silentSince` is the last moment at which anybody entitled could have renewed its lease.
+        if (machine.part != part || machine.claims.empty() || now - machine.silentSince <= lease)
+            continue;
+        releaseClaims(machine, "its lease has run out");
+    }
+    // A machine's record goes only after proof that the machine is gone; an owner that ended
+    // between that and recording the end of its claims leaves them without a machine.
+    for (auto& [id, job] : ledger->jobs) {
+        for (auto& slice : job.slices) {
+            if (slice.part != part) continue;
+            std::vector<std::uint32_t> lost;
+            for (const auto& claim : slice.claims)
+                if (claim.durable && ledger->machine(claim.machine) == nullptr)
+                    lost.push_back(claim.task);
+            for (const auto task : lost) ledger->removeClaim(job, slice, task);
+        }
+    }
+}
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/reports.h
@@ -0,0 +1,51 @@
+// Workers' reports: what they prove, and the commands they are answered with.
+#pragma once
+
+#include "coordination/membership.h"
+#include "coordination/recorder.h"
+
+namespace fawnwheel::coordination {
+
+struct ReportAnswer {
+    int status = 503;
+    std::string body;
+};
+
+class Reports {
+  public:
+    Reports(Context& context, Membership& membership, Recorder& recorder)
+        : context_(context), membership_(membership), recorder_(recorder) {}
+
+    ReportAnswer handle(const protocol::WorkerReport& report);
+    // A part has come to this process: whatever was known of its machines must be proved anew.
+    void onPartActive(std::uint32_t part);
+    // Sends stops straight to the machines of this job; the reports repeat them.
+    void stopNow(const std::string& job);
+    // All that was on the machine is surely gone.
+    void releaseClaims(Machine& machine, const char* why);
+    // Machines silent for so long that their leases have surely run out.
+    void expireSilent(std::uint32_t part);
+
+    // A machine nobody has assigned to a part yet.
+    std::function<void(const protocol::WorkerReport&)> onUnassigned =
+        [](const protocol::WorkerReport&) {};
+    std::function<void()> onChange = [] {};
+
+  private:
+    void takeIn(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report,
+                std::uint64_t term);
+    void takeTask(Ledger& ledger, Machine& machine, const protocol::TaskReport& task,
+                  std::vector<protocol::Command>& commands);
+    void takeExit(Ledger& ledger, Machine& machine, Job& job, Slice& slice, Claim& claim,
+                  const protocol::TaskReport& task);
+    void noteImage(Machine& machine, const Job& job);
+    void addStarts(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report,
+                   std::vector<protocol::Command>& commands);
+    [[nodiscard]] static bool startable(const Job& job, const Claim& claim);
+
+    Context& context_;
+    Membership& membership_;
+    Recorder& recorder_;
+};
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/protocol/cloud_client.cpp
@@ -0,0 +1,107 @@
+#include "protocol/cloud_client.h"
+
+#include <algorithm>
+
+#include "protocol/names.h"
+
+namespace fawnwheel::protocol {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto callTimeout = 5s;
+constexpr auto pumpPeriod = 50ms;
+constexpr int listPage = 500;
+
+std::optional<Json> okBody(const std::optional<transport::HttpResponse>& response) {
+    if (!response || response->status != 200) return std::nullopt;
+    return decodeCbor(response->body);
+}
+
+}  // namespace
+
+CloudClient::CloudClient(transport::Timers& timers, transport::Network& network,
+                         std::string address, double callsPerSecond)
+    : timers_(timers),
+      network_(network),
+      address_(std::move(address)),
+      rate_(callsPerSecond),
+      tokens_(1),
+      filled_(timers.now()) {}
+
+void CloudClient::enqueue(transport::HttpRequest request, transport::HttpDone done) {
+    queue_.push_back({std::move(request), std::move(done)});
+    if (!pumping_) pump();
+}
+
+void CloudClient::pump() {
+    pumping_ = true;
+    const auto now = timers_.now();
+    tokens_ = std::min(tokens_ + Seconds(now - filled_).count() * rate_, std::max(1.0, rate_));
+    filled_ = now;
+    while (!queue_.empty() && tokens_ >= 1) {
+        tokens_ -= 1;
+        Call call = std::move(queue_.front());
+        queue_.pop_front();
+        network_.call(address_, std::move(call.request), callTimeout, std::move(call.done));
+    }
+    pumping_ = !queue_.empty();
+    if (pumping_) timers_.after(pumpPeriod, [this] { pump(); });
+}
+
+void CloudClient::catalog(std::function<void(std::optional<std::vector<MachineType>>)> done) {
+    enqueue({"GET", wire::pathCatalog, {}},
+            [done = std::move(done)](std::optional<transport::HttpResponse> response) {
+                const auto body = okBody(response);
+                if (!body) return done(std::nullopt);
+                done(parseCatalog(*body));
+            });
+}
+
+void CloudClient::list(const std::string& after,
+                       std::function<void(std::optional<CloudPage>)> done) {
+    std::string path =
+        std::string(wire::pathRentals) + "?" + wire::queryMost + "=" + std::to_string(listPage);
+    if (!after.empty()) path += std::string("&") + wire::querySince + "=" + after;
+    enqueue({"GET", std::move(path), {}},
+            [done = std::move(done)](std::optional<transport::HttpResponse> response) {
+                const auto body = okBody(response);
+                if (!body) return done(std::nullopt);
+                done(parseCloudPage(*body));
+            });
+}
+
+void CloudClient::rent(const std::string& rental, const std::string& type, const std::string& zone,
+                       bool spot, int count,
+                       std::function<void(RentResult, std::vector<std::string>)> done) {
+    const Json body{{wire::rental, rental},
+                    {wire::type, type},
+                    {wire::zone, zone},
+                    {wire::spot, spot},
+                    {wire::count, count}};
+    enqueue({"POST", wire::pathRentals, encodeCbor(body)},
+            [done = std::move(done)](std::optional<transport::HttpResponse> response) {
+                if (!response) return done(RentResult::unknown, {});
+                const auto answer = decodeCbor(response->body);
+                if (response->status == 200 && answer) {
+                    std::vector<std::string> names;
+                    for (const auto& name : listOf(*answer, wire::machines))
+                        if (name.is_string()) names.push_back(name.get<std::string>());
+                    return done(RentResult::rented, std::move(names));
+                }
+                const bool full =
+                    response->status == 503 && answer && textOf(*answer, "error") == "no capacity";
+                done(full ? RentResult::noCapacity : RentResult::failed, {});
+            });
+}
+
+void CloudClient::release(const std::vector<std::string>& machines,
+                          std::function<void(bool)> done) {
+    enqueue({"POST", wire::pathRelease, encodeCbor({{wire::machines, machines}})},
+            [done = std::move(done)](std::optional<transport::HttpResponse> response) {
+                done(response && response->status == 200);
+            });
+}
+
+}  // namespace fawnwheel::protocol
--- /dev/null
+++ b/src/protocol/messages.cpp
@@ -0,0 +1,310 @@
+#include "protocol/messages.h"
+
+#include <array>
+#include <charconv>
+#include <cmath>
+
+#include "protocol/names.h"
+
+namespace fawnwheel::protocol {
+
+namespace {
+
+constexpr std::uint32_t maxTasks = 100'000;
+constexpr std::size_t maxText = 120;
+constexpr double maxAmount = 1e9;
+constexpr double slack = 1e-9;  // sums of decimals
+
+template <typename Enum>
+struct Word {
+    const char* text;
+    Enum value;
+};
+
+constexpr std::array kinds{Word<JobKind>{wire::kindArray, JobKind::array},
+                           Word<JobKind>{wire::kindGang, JobKind::gang},
+                           Word<JobKind>{wire::kindService, JobKind::service}};
+constexpr std::array priorities{Word<Priority>{wire::priorityProduction, Priority::production},
+                                Word<Priority>{wire::priorityHigh, Priority::high},
+                                Word<Priority>{wire::priorityNormal, Priority::normal},
+                                Word<Priority>{wire::priorityLow, Priority::low}};
+constexpr std::array taskStates{Word<TaskState>{wire::stateFetching, TaskState::fetching},
+                                Word<TaskState>{wire::stateWaiting, TaskState::waiting},
+                                Word<TaskState>{wire::stateRunning, TaskState::running},
+                                Word<TaskState>{wire::stateSaving, TaskState::saving},
+                                Word<TaskState>{wire::stateExited, TaskState::exited}};
+constexpr std::array causes{Word<ExitCause>{wire::causeDone, ExitCause::done},
+                            Word<ExitCause>{wire::causeStopped, ExitCause::stopped},
+                            Word<ExitCause>{wire::causePeers, ExitCause::peersGone},
+                            Word<ExitCause>{wire::causeAlone, ExitCause::alone},
+                            Word<ExitCause>{wire::causeError, ExitCause::error},
+                            Word<ExitCause>{wire::causeNoRoom, ExitCause::noRoom},
+                            Word<ExitCause>{wire::causeBusy, ExitCause::busy},
+                            Word<ExitCause>{wire::causeUnknown, ExitCause::unknown}};
+
+template <typename Table, typename Enum>
+bool lookUp(const Table& table, const std::string& text, Enum& out) {
+    for (const auto& word : table) {
+        if (text == word.text) {
+            out = word.value;
+            return true;
+        }
+    }
+    return false;
+}
+
+template <typename Table, typename Enum>
+const char* wordFor(const Table& table, Enum value) {
+    for (const auto& word : table)
+        if (word.value == value) return word.text;
+    return "";
+}
+
+// Collects the first thing that is wrong with a description.
+class FieldReader {
+  public:
+    explicit FieldReader(const Json& map) : map_(map) {}
+
+    std::string text(const char* field, bool mayBeEmpty = false) {
+        const Json* found = find(field);
+        if (found == nullptr || !found->is_string()) return fail(field), std::string();
+        auto value = found->get<std::string>();
+        if ((value.empty() && !mayBeEmpty) || value.size() > maxText) fail(field);
+        return value;
+    }
+    double amount(const char* field, double least = 0.0) {
+        const Json* found = find(field);
+        if (found == nullptr || !found->is_number()) return fail(field), 0.0;
+        const auto value = found->get<double>();
+        if (!std::isfinite(value) || value < least || value > maxAmount) fail(field);
+        return value;
+    }
+    std::uint32_t count(const char* field, std::uint32_t most) {
+        const double value = amount(field, 1.0);
+        if (value > most || value != std::floor(value)) return fail(field), 0U;
+        return static_cast<std::uint32_t>(value);
+    }
+    bool flag(const char* field) {
+        const Json* found = find(field);
+        if (found == nullptr) return false;
+        if (!found->is_boolean()) fail(field);
+        return found->is_boolean() && found->get<bool>();
+    }
+    template <typename Enum, typename Table>
+    Enum word(const char* field, const Table& table) {
+        Enum value{};
+        if (!lookUp(table, text(field), value)) fail(field);
+        return value;
+    }
+    // Null and absent are the same.
+    const Json* find(const char* field) const {
+        const auto found = map_.find(field);
+        return found == map_.end() || found->is_null() ? nullptr : &*found;
+    }
+    void fail(const char* field) {
+        if (error_.empty()) error_ = std::string("missing or invalid: ") + field;
+    }
+    [[nodiscard]] const std::string& error() const { return error_; }
+
+  private:
+    const Json& map_;
+    std::string error_;
+};
+
+bool splitTask(const std::string& name, std::string& job, std::uint32_t& index) {
+    const auto slash = name.rfind('/');
+    if (slash == std::string::npos) return false;
+    job = name.substr(0, slash);
+    const char* last = name.data() + name.size();
+    const auto [end, error] = std::from_chars(name.data() + slash + 1, last, index);
+    return error == std::errc{} && end == last;
+}
+
+}  // namespace
+
+Resources& Resources::operator+=(const Resources& other) {
+    cpus += other.cpus;
+    gpus += other.gpus;
+    memory += other.memory;
+    return *this;
+}
+
+Resources& Resources::operator-=(const Resources& other) {
+    cpus -= other.cpus;
+    gpus -= other.gpus;
+    memory -= other.memory;
+    return *this;
+}
+
+bool Resources::fits(const Resources& room) const {
+    return cpus <= room.cpus + slack && gpus <= room.gpus + slack && memory <= room.memory + slack;
+}
+
+bool validJobId(const std::string& id) {
+    const std::string_view prefix = wire::jobPrefix;
+    if (id.size() <= prefix.size() || id.size() > maxText || !id.starts_with(prefix)) return false;
+    return std::all_of(
+        id.begin() + static_cast<std::ptrdiff_t>(prefix.size()), id.end(),
+        [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_'; });
+}
+
+std::variant<JobSpec, std::string> parseJobSpec(const Json& body) {
+    if (!body.is_object()) return std::string("not a map");
+    FieldReader read(body);
+    JobSpec spec;
+    spec.id = read.text(wire::id);
+    if (!validJobId(spec.id)) read.fail(wire::id);
+    spec.jobClass = read.text(wire::jobClass);
+    spec.team = read.text(wire::team);
+    spec.kind = read.word<JobKind>(wire::kind, kinds);
+    spec.priority = read.word<Priority>(wire::priority, priorities);
+    spec.tasks = read.count(wire::tasks, maxTasks);
+    spec.each = {read.amount(wire::cpus), read.amount(wire::gpus), read.amount(wire::memory)};
+    spec.image = read.text(wire::image);
+    spec.imageSize = read.amount(wire::imageSize);
+    if (const Json* types = read.find(wire::types)) {
+        spec.types.emplace();
+        if (!types->is_array()) read.fail(wire::types);
+        for (const auto& type : *types) {
+            if (!type.is_string()) {
+                read.fail(wire::types);
+                break;
+            }
+            spec.types->push_back(type.get<std::string>());
+        }
+    }
+    if (read.find(wire::zone) != nullptr) spec.zone = read.text(wire::zone);
+    spec.oneZone = read.flag(wire::oneZone);
+    spec.spread = read.flag(wire::spread);
+    spec.spot = read.flag(wire::spot);
+    spec.estimate = Seconds(read.amount(wire::estimate));
+    spec.checkpoint = Seconds(read.amount(wire::checkpoint));
+    spec.save = Seconds(read.amount(wire::save));
+    if (read.find(wire::deadline) != nullptr) spec.deadline = Seconds(read.amount(wire::deadline));
+    if (!read.error().empty()) return read.error();
+    return spec;
+}
+
+Json encodeJobSpec(const JobSpec& spec) {
+    Json out{{wire::id, spec.id},
+             {wire::jobClass, spec.jobClass},
+             {wire::team, spec.team},
+             {wire::kind, wordFor(kinds, spec.kind)},
+             {wire::priority, wordFor(priorities, spec.priority)},
+             {wire::tasks, spec.tasks},
+             {wire::cpus, spec.each.cpus},
+             {wire::gpus, spec.each.gpus},
+             {wire::memory, spec.each.memory},
+             {wire::image, spec.image},
+             {wire::imageSize, spec.imageSize},
+             {wire::oneZone, spec.oneZone},
+             {wire::spread, spec.spread},
+             {wire::spot, spec.spot},
+             {wire::estimate, spec.estimate.count()},
+             {wire::checkpoint, spec.checkpoint.count()},
+             {wire::save, spec.save.count()}};
+    if (spec.types) out[wire::types] = *spec.types;
+    if (spec.zone) out[wire::zone] = *spec.zone;
+    if (spec.deadline) out[wire::deadline] = spec.deadline->count();
+    return out;
+}
+
+std::optional<WorkerReport> parseWorkerReport(const Json& body) {
+    if (!body.is_object()) return std::nullopt;
+    WorkerReport report;
+    report.machine = textOf(body, wire::machine);
+    report.address = textOf(body, wire::address);
+    report.type = textOf(body, wire::type);
+    report.zone = textOf(body, wire::zone);
+    report.spot = flagOf(body, wire::spot);
+    report.session = countOf(body, wire::session);
+    report.sequence = countOf(body, wire::sequence);
+    report.token = countOf(body, wire::token);
+    const auto notice = body.find(wire::notice);
+    if (notice != body.end() && notice->is_number()) report.notice = Seconds(notice->get<double>());
+    for (const auto& entry : listOf(body, wire::tasks)) {
+        TaskReport task;
+        if (!splitTask(textOf(entry, wire::task), task.job, task.index)) return std::nullopt;
+        task.attempt = countOf(entry, wire::attempt);
+        // A state we don't know must not count as an exit: taken as running.
+        lookUp(taskStates, textOf(entry, wire::state), task.state);
+        lookUp(causes, textOf(entry, wire::cause), task.cause);
+        task.saved = flagOf(entry, wire::saved);
+        report.tasks.push_back(std::move(task));
+    }
+    if (report.machine.empty() || report.machine.size() > maxText ||
+        report.machine.find_first_of(" /") != std::string::npos || report.session == 0)
+        return std::nullopt;
+    return report;
+}
+
+Json encodeCommands(std::uint64_t token, const std::vector<Command>& commands) {
+    Json list = Json::array();
+    for (const auto& command : commands) {
+        const char* word = command.kind == CommandKind::start  ? wire::commandStart
+                           : command.kind == CommandKind::stop ? wire::commandStop
+                                                               : wire::commandForget;
+        Json entry{{wire::command, word},
+                   {wire::task, command.job + "/" + std::to_string(command.index)},
+                   {wire::attempt, command.attempt}};
+        if (command.kind == CommandKind::stop) entry[wire::grace] = command.grace.count();
+        list.push_back(std::move(entry));
+    }
+    return {{wire::token, token}, {wire::commands, std::move(list)}};
+}
+
+Json encodeReportTo(const std::string& node) {
+    Json out = Json::object();
+    if (!node.empty()) out[wire::reportTo] = node;
+    return out;
+}
+
+Json encodeJobState(const std::string& id, const char* state) {
+    return {{wire::id, id}, {wire::state, state}};
+}
+
+Json encodeJobState(const std::string& id, const char* state, std::uint32_t done,
+                    std::uint32_t running) {
+    return {{wire::id, id}, {wire::state, state}, {wire::done, done}, {wire::running, running}};
+}
+
+std::vector<MachineType> parseCatalog(const Json& body) {
+    std::vector<MachineType> types;
+    for (const auto& entry : listOf(body, wire::types)) {
+        MachineType type;
+        type.name = textOf(entry, wire::name);
+        type.capacity = {numberOf(entry, wire::cpus), numberOf(entry, wire::gpus),
+                         numberOf(entry, wire::memory)};
+        type.cacheSize = numberOf(entry, wire::cacheSize);
+        type.fetchRate = std::max(0.001, numberOf(entry, wire::fetchRate, 0.1));
+        type.price = numberOf(entry, wire::price);
+        type.spotPrice = numberOf(entry, wire::spotPrice);
+        type.bootTime = Seconds(numberOf(entry, wire::bootTime));
+        for (const auto& zone : listOf(entry, wire::zones))
+            if (zone.is_string()) type.zones.push_back(zone.get<std::string>());
+        if (!type.name.empty()) types.push_back(std::move(type));
+    }
+    return types;
+}
+
+CloudPage parseCloudPage(const Json& body) {
+    CloudPage page;
+    for (const auto& entry : listOf(body, wire::machines)) {
+        CloudMachine machine;
+        machine.id = textOf(entry, wire::id);
+        machine.address = textOf(entry, wire::address);
+        machine.type = textOf(entry, wire::type);
+        machine.zone = textOf(entry, wire::zone);
+        machine.spot = flagOf(entry, wire::spot);
+        const auto state = textOf(entry, wire::state);
+        machine.state = state == wire::stateBooting  ? CloudState::booting
+                        : state == wire::stateFailed ? CloudState::failed
+                                                     : CloudState::running;
+        machine.age = Seconds(numberOf(entry, wire::age));
+        if (!machine.id.empty()) page.machines.push_back(std::move(machine));
+    }
+    page.more = flagOf(body, wire::more);
+    return page;
+}
+
+}  // namespace fawnwheel::protocol
--- /dev/null
+++ b/src/protocol/messages.h
@@ -0,0 +1,130 @@
+// Typed messages of users, workers and the cloud, with their validation.
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "protocol/cbor.h"
+
+namespace fawnwheel::protocol {
+
+using Seconds = std::chrono::duration<double>;
+
+enum class JobKind { array, gang, service };
+enum class Priority { production, high, normal, low };
+
+struct Resources {
+    double cpus = 0;
+    double gpus = 0;
+    double memory = 0;  // GB
+
+    Resources& operator+=(const Resources& other);
+    Resources& operator-=(const Resources& other);
+    [[nodiscard]] bool fits(const Resources& room) const;
+};
+
+struct JobSpec {
+    std::string id;
+    std::string jobClass;
+    std::string team;
+    JobKind kind = JobKind::array;
+    Priority priority = Priority::normal;
+    std::uint32_t tasks = 0;
+    Resources each;
+    std::string image;
+    double imageSize = 0;                           // GB
+    std::optional<std::vector<std::string>> types;  // allowed; none: any
+    std::optional<std::string> zone;
+    bool oneZone = false;
+    bool spread = false;
+    bool spot = false;
+    Seconds estimate{};
+    Seconds checkpoint{};
+    Seconds save{};
+    std::optional<Seconds> deadline;
+};
+
+// The description, or what is wrong with it.
+std::variant<JobSpec, std::string> parseJobSpec(const Json& body);
+Json encodeJobSpec(const JobSpec& spec);
+bool validJobId(const std::string& id);
+
+enum class TaskState { fetching, waiting, running, saving, exited };
+enum class ExitCause { done, stopped, peersGone, alone, error, noRoom, busy, unknown };
+
+struct TaskReport {
+    std::string job;
+    std::uint32_t index = 0;
+    std::uint64_t attempt = 0;
+    TaskState state = TaskState::running;
+    ExitCause cause = ExitCause::stopped;  // when exited
+    bool saved = false;
+};
+
+struct WorkerReport {
+    std::string machine;
+    std::string address;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    std::uint64_t session = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t token = 0;
+    std::optional<Seconds> notice;
+    std::vector<TaskReport> tasks;
+};
+
+std::optional<WorkerReport> parseWorkerReport(const Json& body);
+
+enum class CommandKind { start, stop, forget };
+
+struct Command {
+    CommandKind kind = CommandKind::start;
+    std::string job;
+    std::uint32_t index = 0;
+    std::uint64_t attempt = 0;
+    Seconds grace{};
+};
+
+Json encodeCommands(std::uint64_t token, const std::vector<Command>& commands);
+Json encodeReportTo(const std::string& node);  // empty: names nobody
+Json encodeJobState(const std::string& id, const char* state);
+Json encodeJobState(const std::string& id, const char* state, std::uint32_t done,
+                    std::uint32_t running);
+
+struct MachineType {
+    std::string name;
+    Resources capacity;
+    double cacheSize = 0;
+    double fetchRate = 0.1;  // GB a second
+    double price = 0;        // an hour
+    double spotPrice = 0;
+    Seconds bootTime{};
+    std::vector<std::string> zones;
+};
+
+std::vector<MachineType> parseCatalog(const Json& body);
+
+enum class CloudState { booting, running, failed };
+
+struct CloudMachine {
+    std::string id;
+    std::string address;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    CloudState state = CloudState::running;
+    Seconds age{};
+};
+
+struct CloudPage {
+    std::vector<CloudMachine> machines;
+    bool more = false;
+};
+
+CloudPage parseCloudPage(const Json& body);
+
+}  // namespace fawnwheel::protocol
--- /dev/null
+++ b/src/protocol/peer_codec.cpp
@@ -0,0 +1,147 @@
+#include "protocol/peer_codec.h"
+
+namespace fawnwheel::protocol {
+
+namespace {
+
+constexpr std::uint64_t codecVersion = 1;
+constexpr unsigned maxVarintBytes = 10;
+
+// One function a message lists its fields, for writing and reading alike.
+struct Write {
+    VarintWriter& out;
+    void operator()(std::uint64_t& v) { out.number(v); }
+    void operator()(std::uint32_t& v) { out.number(v); }
+    void operator()(bool& v) { out.flag(v); }
+    void operator()(std::string& v) { out.text(v); }
+};
+
+struct Read {
+    VarintReader& in;
+    void operator()(std::uint64_t& v) { v = in.number(); }
+    void operator()(std::uint32_t& v) { v = static_cast<std::uint32_t>(in.number()); }
+    void operator()(bool& v) { v = in.flag(); }
+    void operator()(std::string& v) { v = in.text(); }
+};
+
+template <typename Visit>
+void fields(Status& m, Visit visit) {
+    visit(m.sentAt);
+    visit(m.echo);
+    visit(m.stateReachable);
+    visit(m.ready);
+}
+template <typename Visit>
+void fields(MoveAsk& m, Visit visit) {
+    visit(m.ask);
+    visit(m.part);
+    visit(m.job);
+    visit(m.slice);
+    visit(m.wholeJob);
+    visit(m.tasks);
+}
+template <typename Visit>
+void fields(MoveAnswer& m, Visit visit) {
+    visit(m.ask);
+    visit(m.accepted);
+}
+template <typename Visit>
+void fields(LendAsk& m, Visit visit) {
+    visit(m.fromPart);
+    visit(m.toPart);
+    visit(m.job);
+    visit(m.tasks);
+}
+template <typename Visit>
+void fields(QuotaAsk& m, Visit visit) {
+    visit(m.fromPart);
+    visit(m.toPart);
+    visit(m.team);
+    visit(m.milliCpus);
+    visit(m.milliGpus);
+}
+template <typename Visit>
+void fields(RelayedReport& m, Visit visit) {
+    visit(m.relay);
+    visit(m.body);
+}
+template <typename Visit>
+void fields(RelayedAnswer& m, Visit visit) {
+    visit(m.relay);
+    visit(m.status);
+    visit(m.body);
+}
+
+template <std::size_t Index = 0>
+bool readKind(std::uint64_t kind, VarintReader& in, PeerMessage& out) {
+    if constexpr (Index < std::variant_size_v<PeerMessage>) {
+        if (kind != Index) return readKind<Index + 1>(kind, in, out);
+        fields(out.emplace<Index>(), Read{in});
+        return true;
+    } else {
+        return false;
+    }
+}
+
+}  // namespace
+
+void VarintWriter::number(std::uint64_t value) {
+    while (value >= 0x80) {
+        out_.push_back(static_cast<char>((value & 0x7f) | 0x80));
+        value >>= 7U;
+    }
+    out_.push_back(static_cast<char>(value));
+}
+
+void VarintWriter::text(std::string_view value) {
+    number(value.size());
+    out_.append(value);
+}
+
+std::uint64_t VarintReader::number() {
+    std::uint64_t value = 0;
+    for (unsigned i = 0; i < maxVarintBytes && !in_.empty(); ++i) {
+        const auto byte = static_cast<unsigned char>(in_.front());
+        in_.remove_prefix(1);
+        if (i == maxVarintBytes - 1 && byte > 1) break;
+        value |= std::uint64_t{byte & 0x7fU} << (7 * i);
+        if (byte < 0x80) return value;
+    }
+    ok_ = false;
+    in_ = {};
+    return 0;
+}
+
+std::string VarintReader::text() {
+    const auto length = number();
+    if (!ok_ || length > in_.size()) {
+        ok_ = false;
+        in_ = {};
+        return {};
+    }
+    std::string value(in_.substr(0, length));
+    in_.remove_prefix(length);
+    return value;
+}
+
+std::string encodePeer(const PeerEnvelope& envelope) {
+    VarintWriter out;
+    out.number(codecVersion);
+    out.number(envelope.message.index());
+    out.text(envelope.sender);
+    PeerMessage message = envelope.message;
+    std::visit([&out](auto& m) { fields(m, Write{out}); }, message);
+    return out.take();
+}
+
+std::optional<PeerEnvelope> decodePeer(std::string_view frame) {
+    VarintReader in(frame);
+    if (in.number() != codecVersion || !in.ok()) return std::nullopt;
+    const auto kind = in.number();
+    PeerEnvelope envelope;
+    envelope.sender = in.text();
+    if (!in.ok() || !readKind(kind, in, envelope.message) || !in.atEnd()) return std::nullopt;
+    return envelope;
+}
+
+}  // namespace fawnwheel::protocol
--- /dev/null
+++ b/src/protocol/peer_codec.h
@@ -0,0 +1,103 @@
+// The codec between our own processes: a version byte, a kind byte, then varint fields. Bounded:
+// a decoder never reads past the frame and never allocates more than the frame holds.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace fawnwheel::protocol {
+
+class VarintWriter {
+  public:
+    void number(std::uint64_t value);
+    void flag(bool value) { number(value ? 1 : 0); }
+    void text(std::string_view value);
+    [[nodiscard]] std::string take() { return std::move(out_); }
+
+  private:
+    std::string out_;
+};
+
+class VarintReader {
+  public:
+    explicit VarintReader(std::string_view in) : in_(in) {}
+    std::uint64_t number();
+    bool flag() { return number() != 0; }
+    std::string text();
+    [[nodiscard]] bool ok() const { return ok_; }
+    [[nodiscard]] bool atEnd() const { return ok_ && in_.empty(); }
+
+  private:
+    std::string_view in_;
+    bool ok_ = true;
+};
+
+// Sent every beat. The echo lets the receiver date what the sender says: it was said after the
+// receiver's own clock showed `echo`.
+struct Status {
+    std::uint64_t sentAt = 0;  // sender's steady clock, microseconds
+    std::uint64_t echo = 0;    // receiver's `sentAt` as last heard
+    bool stateReachable = false;
+    bool ready = false;
+};
+
+// "May I push these tasks to your part?"
+struct MoveAsk {
+    std::uint64_t ask = 0;
+    std::uint32_t part = 0;  // the part asked
+    std::string job;
+    std::uint32_t slice = 0;
+    bool wholeJob = false;
+    std::uint32_t tasks = 0;
+};
+
+struct MoveAnswer {
+    std::uint64_t ask = 0;
+    bool accepted = false;
+};
+
+// "Lend my part machines for one start of this gang."
+struct LendAsk {
+    std::uint32_t fromPart = 0;
+    std::uint32_t toPart = 0;
+    std::string job;
+    std::uint32_t tasks = 0;
+};
+
+// "My part needs more of the team's limit than its share."
+struct QuotaAsk {
+    std::uint32_t fromPart = 0;
+    std::uint32_t toPart = 0;
+    std::string team;
+    std::uint64_t milliCpus = 0;
+    std::uint64_t milliGpus = 0;
+};
+
+// A worker's report, passed on to the machine's owner by a node that the worker can reach.
+struct RelayedReport {
+    std::uint64_t relay = 0;
+    std::string body;
+};
+
+struct RelayedAnswer {
+    std::uint64_t relay = 0;
+    std::uint32_t status = 0;
+    std::string body;
+};
+
+using PeerMessage =
+    std::variant<Status, MoveAsk, MoveAnswer, LendAsk, QuotaAsk, RelayedReport, RelayedAnswer>;
+
+struct PeerEnvelope {
+    std::string sender;
+    PeerMessage message;
+};
+
+std::string encodePeer(const PeerEnvelope& envelope);
+std::optional<PeerEnvelope> decodePeer(std::string_view frame);
+
+}  // namespace fawnwheel::protocol
--- /dev/null
+++ b/src/protocol/state_client.cpp
@@ -0,0 +1,275 @@
+#include "protocol/state_client.h"
+
+#include <algorithm>
+
+#include "protocol/names.h"
+
+namespace fawnwheel::protocol {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto requestTimeout = 1500ms;
+constexpr auto holdTimeout = 1000ms;
+constexpr auto pumpPeriod = 10ms;
+// What waits longer than this is refused here: its caller decides anew.
+constexpr auto longestWait = 1500ms;
+constexpr std::size_t rangePage = 200;
+constexpr int failuresUntilLost = 2;
+
+StateResult plainResult(const std::optional<transport::HttpResponse>& response) {
+    if (!response) return StateResult::unknown;
+    switch (response->status) {
+        case 200:
+            return StateResult::ok;
+        case 404:
+        case 409:
+            return StateResult::refused;
+        case 400:
+        case 410:
+        case 429:
+        case 503:
+            return StateResult::notCarried;
+        default:
+            return StateResult::unknown;
+    }
+}
+
+Item parseItem(const Json& entry) {
+    Item item;
+    item.key = textOf(entry, wire::key);
+    const auto value = entry.find(wire::value);
+    if (value != entry.end()) item.value = *value;
+    item.version = countOf(entry, wire::version);
+    return item;
+}
+
+}  // namespace
+
+StateClient::StateClient(transport::Timers& timers, transport::Network& network,
+                         std::string address, StateLimits limits)
+    : timers_(timers),
+      network_(network),
+      address_(std::move(address)),
+      limits_(limits),
+      requestTokens_(limits.requestsPerSecond / 2),
+      writeTokens_(limits.writesPerSecond / 2),
+      filled_(timers.now()),
+      lastContact_(timers.now()) {}
+
+std::size_t StateClient::waiting() const {
+    std::size_t total = 0;
+    for (const auto& queue : queues_) total += queue.size();
+    return total;
+}
+
+void StateClient::enqueue(Urgency urgency, Call call) {
+    call.queued = timers_.now();
+    queues_[static_cast<std::size_t>(urgency)].push_back(std::move(call));
+    if (!pumping_) pump();
+}
+
+void StateClient::pump() {
+    pumping_ = true;
+    const auto now = timers_.now();
+    const double seconds = std::chrono::duration<double>(now - filled_).count();
+    filled_ = now;
+    requestTokens_ =
+        std::min(requestTokens_ + seconds * limits_.requestsPerSecond, limits_.requestsPerSecond);
+    writeTokens_ =
+        std::min(writeTokens_ + seconds * limits_.writesPerSecond, limits_.writesPerSecond);
+    for (std::size_t i = 0; i < queues_.size(); ++i) {
+        const bool lease = i == static_cast<std::size_t>(Urgency::lease);
+        auto& queue = queues_[i];
+        while (!queue.empty()) {
+            Call& call = queue.front();
+            const bool enough = requestTokens_ >= 1 &&
+                                (call.writes == 0 ||
+                                 writeTokens_ >= std::min(call.writes, limits_.writesPerSecond));
+            if (!enough && !lease) {
+                if (now - call.queued < longestWait) break;
+                // Never sent, so definitely not carried out.
+                Call late = std::move(call);
+                queue.pop_front();
+                late.done(transport::HttpResponse{503, {}, 0});
+                continue;
+            }
+            requestTokens_ -= 1;
+            writeTokens_ -= call.writes;
+            Call ready = std::move(call);
+            queue.pop_front();
+            send(std::move(ready));
+        }
+    }
+    pumping_ = false;
+    if (waiting() > 0) {
+        pumping_ = true;
+        timers_.after(pumpPeriod, [this] { pump(); });
+    }
+}
+
+void StateClient::send(Call call) {
+    network_.call(address_, std::move(call.request), call.timeout,
+                  [this, done = std::move(call.done)](std::optional<transport::HttpResponse> r) {
+                      noteAnswer(r);
+                      done(std::move(r));
+                  });
+}
+
+void StateClient::noteAnswer(const std::optional<transport::HttpResponse>& response) {
+    if (response && response->status != 503) {
+        lastContact_ = timers_.now();
+        failures_ = 0;
+        reachable_ = true;
+    } else if (++failures_ >= failuresUntilLost) {
+        reachable_ = false;
+    }
+}
+
+void StateClient::transact(Transaction transaction, Urgency urgency,
+                           std::function<void(TransactionAnswer)> done) {
+    Json conditions = Json::array();
+    for (const auto& condition : transaction.conditions)
+        conditions.push_back({{wire::key, condition.key}, {wire::version, condition.version}});
+    Json changes = Json::array();
+    for (auto& change : transaction.changes) {
+        if (!change.value) {
+            changes.push_back({{wire::drop, change.key}});
+            continue;
+        }
+        Json entry{{wire::put, change.key}, {wire::value, std::move(*change.value)}};
+        if (change.hold != 0) entry[wire::hold] = change.hold;
+        changes.push_back(std::move(entry));
+    }
+    const auto writes = static_cast<double>(transaction.changes.size());
+    Json body{{wire::conditions, std::move(conditions)}, {wire::changes, std::move(changes)}};
+    enqueue(urgency, {{"POST", wire::pathTransaction, encodeCbor(body)},
+                      requestTimeout,
+                      writes,
+                      {},
+                      [done = std::move(done)](std::optional<transport::HttpResponse> response) {
+                          TransactionAnswer answer;
+                          answer.result = plainResult(response);
+                          if (response) {
+                              const auto map = decodeCbor(response->body);
+                              if (map) {
+                                  answer.revision = countOf(*map, wire::revision);
+                                  for (const auto& key : listOf(*map, wire::failed))
+                                      if (key.is_string())
+                                          answer.failed.push_back(key.get<std::string>());
+                              }
+                          }
+                          done(std::move(answer));
+                      }});
+}
+
+void StateClient::read(const std::string& key, std::function<void(ReadAnswer)> done) {
+    enqueue(Urgency::read,
+            {{"GET", std::string(wire::pathKeys) + "/" + key, {}},
+             requestTimeout,
+             0,
+             {},
+             [done = std::move(done)](std::optional<transport::HttpResponse> response) {
+                 ReadAnswer answer;
+                 answer.result = plainResult(response);
+                 const auto map = response ? decodeCbor(response->body) : std::nullopt;
+                 if (answer.result == StateResult::ok) {
+                     if (map)
+                         answer.items.push_back(parseItem(*map));
+                     else
+                         answer.result = StateResult::unknown;
+                 } else if (response && response->status == 404) {
+                     answer.result = StateResult::ok;
+                     if (map) answer.revision = countOf(*map, wire::revision);
+                 }
+                 done(std::move(answer));
+             }});
+}
+
+void StateClient::readRange(const std::string& prefix, const std::string& after,
+                            std::function<void(ReadAnswer)> done) {
+    std::string path = std::string(wire::pathKeys) + "?" + wire::queryPrefix + "=" + prefix + "&" +
+                       wire::queryMost + "=" + std::to_string(rangePage);
+    if (!after.empty()) path += std::string("&") + wire::querySince + "=" + after;
+    enqueue(Urgency::read,
+            {{"GET", std::move(path), {}},
+             requestTimeout,
+             0,
+             {},
+             [done = std::move(done)](std::optional<transport::HttpResponse> response) {
+                 ReadAnswer answer;
+                 answer.result = plainResult(response);
+                 const auto map = response ? decodeCbor(response->body) : std::nullopt;
+                 if (answer.result == StateResult::ok && !map) answer.result = StateResult::unknown;
+                 if (answer.result == StateResult::ok) {
+                     for (const auto& entry : listOf(*map, wire::items))
+                         answer.items.push_back(parseItem(entry));
+                     answer.more = flagOf(*map, wire::more);
+                     answer.revision = countOf(*map, wire::revision);
+                 }
+                 done(std::move(answer));
+             }});
+}
+
+void StateClient::follow(const std::string& prefix, std::uint64_t since, transport::Duration wait,
+                         std::function<void(FollowAnswer)> done) {
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(wait);
+    std::string path = std::string(wire::pathFollow) + "?" + wire::queryPrefix + "=" + prefix +
+                       "&" + wire::querySince + "=" + std::to_string(since) + "&" +
+                       wire::queryWait + "=" + std::to_string(millis.count());
+    enqueue(Urgency::write,
+            {{"GET", std::move(path), {}},
+             wait + requestTimeout,
+             0,
+             {},
+             [done = std::move(done)](std::optional<transport::HttpResponse> response) {
+                 FollowAnswer answer;
+                 answer.result = plainResult(response);
+                 answer.tooOld = response && response->status == 410;
+                 const auto map = response ? decodeCbor(response->body) : std::nullopt;
+                 if (answer.result == StateResult::ok && !map) answer.result = StateResult::unknown;
+                 if (answer.result == StateResult::ok) {
+                     answer.revision = countOf(*map, wire::revision);
+                     for (const auto& entry : listOf(*map, wire::events)) {
+                         Event event;
+                         event.version = countOf(entry, wire::version);
+                         event.key = textOf(entry, wire::put);
+                         if (event.key.empty())
+                             event.key = textOf(entry, wire::drop);
+                         else
+                             event.value = entry.value(wire::value, Json());
+                         answer.events.push_back(std::move(event));
+                     }
+                 }
+                 done(std::move(answer));
+             }});
+}
+
+void StateClient::createHold(transport::Duration ttl, std::function<void(std::uint64_t)> done) {
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(ttl).count();
+    enqueue(Urgency::lease,
+            {{"POST", wire::pathHolds, encodeCbor({{wire::holdTime, millis}})},
+             holdTimeout,
+             0,
+             {},
+             [done = std::move(done)](std::optional<transport::HttpResponse> response) {
+                 const auto map = response && response->status == 200 ? decodeCbor(response->body)
+                                                                      : std::nullopt;
+                 done(map ? countOf(*map, wire::hold) : 0);
+             }});
+}
+
+void StateClient::extendHold(std::uint64_t hold, std::function<void(StateResult)> done) {
+    enqueue(
+        Urgency::lease,
+        {{"POST", std::string(wire::pathHolds) + "/" + std::to_string(hold) + wire::pathExtend, {}},
+         holdTimeout,
+         0,
+         {},
+         [done = std::move(done)](std::optional<transport::HttpResponse> response) {
+             done(plainResult(response));
+         }});
+}
+
+}  // namespace fawnwheel::protocol
--- /dev/null
+++ b/src/transport/http_server.h
@@ -0,0 +1,35 @@
+// HTTP/1.1 server: keep-alive, no pipelining, bounded bodies and connections, idle time-outs.
+#pragma once
+
+#include <memory>
+#include <unordered_set>
+
+#include "transport/socket.h"
+
+namespace fawnwheel::transport {
+
+class HttpServer {
+  public:
+    HttpServer(Loop& loop, const std::string& address, std::size_t maxConnections,
+               HttpHandler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    static constexpr std::size_t maxBody = std::size_t{64} * 1024;
+
+  private:
+    struct Connection;
+
+    void acceptAll();
+    void sweep();
+
+    Loop& loop_;
+    Socket listener_;
+    std::size_t maxConnections_;
+    HttpHandler handler_;
+    TimerId sweeper_ = 0;
+    std::unordered_set<std::shared_ptr<Connection>> connections_;
+};
+
+}  // namespace fawnwheel::transport
--- /dev/null
+++ b/src/transport/interfaces.h
@@ -0,0 +1,55 @@
+// The two small interfaces behind which time and network sit, so that the same code runs on
+// epoll and in the tests' virtual time.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace fawnwheel::transport {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+using WallTime = std::chrono::system_clock::time_point;
+using Duration = std::chrono::steady_clock::duration;
+using TimerId = std::uint64_t;
+
+class Timers {
+  public:
+    virtual ~Timers() = default;
+    [[nodiscard]] virtual SteadyTime now() const = 0;
+    [[nodiscard]] virtual WallTime wallNow() const = 0;
+    virtual TimerId after(Duration delay, std::function<void()> action) = 0;
+    virtual void cancel(TimerId id) = 0;
+};
+
+struct HttpRequest {
+    std::string method;
+    std::string path;  // with the query
+    std::string body;
+};
+
+struct HttpResponse {
+    int status = 0;
+    std::string body;
+    int retryAfterSeconds = 0;  // 0: no such header
+};
+
+// An empty response: none arrived, and the request may or may not have been carried out.
+using HttpDone = std::function<void(std::optional<HttpResponse>)>;
+// A handler answers each request exactly once, now or later.
+using HttpReply = std::function<void(HttpResponse)>;
+using HttpHandler = std::function<void(HttpRequest, HttpReply)>;
+
+class Network {
+  public:
+    virtual ~Network() = default;
+    // `address` is "ip:port"; `done` is called exactly once.
+    virtual void call(const std::string& address, HttpRequest request, Duration timeout,
+                      HttpDone done) = 0;
+    // One-way, best effort, in order while the connection lasts.
+    virtual void sendFrame(const std::string& peer, std::string payload) = 0;
+};
+
+}  // namespace fawnwheel::transport
--- /dev/null
+++ b/src/transport/tcp_network.h
@@ -0,0 +1,28 @@
+// The Network of a real process: HTTP client and peer link on the epoll loop.
+#pragma once
+
+#include "transport/frame_link.h"
+#include "transport/http_client.h"
+
+namespace fawnwheel::transport {
+
+class TcpNetwork final : public Network {
+  public:
+    TcpNetwork(Loop& loop, const std::string& peerAddress, std::map<std::string, std::string> peers,
+               FrameLink::OnFrame onFrame)
+        : client_(loop), link_(loop, peerAddress, std::move(peers), std::move(onFrame)) {}
+
+    void call(const std::string& address, HttpRequest request, Duration timeout,
+              HttpDone done) override {
+        client_.call(address, std::move(request), timeout, std::move(done));
+    }
+    void sendFrame(const std::string& peer, std::string payload) override {
+        link_.send(peer, payload);
+    }
+
+  private:
+    HttpClient client_;
+    FrameLink link_;
+};
+
+}  // namespace fawnwheel::transport
