--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -4,6 +4,12 @@
 
 namespace fawnwheel::bookkeeping {
 
+namespace {
+
+constexpr std::size_t maxGone = 2000;
+
+}  // namespace
+
 Claim* Slice::claimOf(std::uint32_t task) {
     const auto found = std::find_if(claims.begin(), claims.end(),
                                     [task](const Claim& c) { return c.task == task; });
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -82,10 +82,11 @@
             machine->failedInList = listed.state == protocol::CloudState::failed;
             continue;
         }
-        if (!membership_.active(0)) continue;
+        // A lagging list still shows machines that are gone. One that was returned before this
+        // process began is told from a new one by the lists of a later moment.
+        if (!membership_.active(0) || ledger->goneMachines.contains(listed.id)) continue;
         const auto& found = unassigned_.try_emplace(listed.id, Found{listed, now}).first->second;
-        // A fresh machine is recorded by its renter, unless that one has died meanwhile.
-        if (listed.age > renterFirst || now - found.seen > renterFirst)
+        if (asked - found.seen > lag && now - found.seen > renterFirst)
             assign(listed.id, listed.type, listed.zone, listed.spot, std::nullopt);
     }
     std::erase_if(unassigned_, [&](const auto& e) { return !present.contains(e.first); });
@@ -137,6 +138,8 @@
 
 void Fleet::assignReported(const protocol::WorkerReport& report) {
     const auto now = context_.now();
+    // A report that was held back on its way.
+    if (context_.ledger.lock()->goneMachines.contains(report.machine)) return;
     const auto [entry, fresh] = unassigned_.try_emplace(report.machine);
     if (fresh) entry->second.seen = now;
     // Its renter's record may be on its way; but machines that were there before us have none.
@@ -155,7 +158,7 @@
     std::uint32_t writer = 0;
     {
         auto ledger = context_.ledger.lock();
-        if (ledger->machine(id) != nullptr) {
+        if (ledger->machine(id) != nullptr || ledger->goneMachines.contains(id)) {
             assigning_.erase(id);
             return;
         }
