--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -140,7 +140,7 @@
     std::map<std::string, std::map<std::uint32_t, TeamShare>> shares;
     std::map<std::string, std::uint64_t> shareVersions;
     std::set<std::string> goneMachines;  // their records went after proof; names never return
-    std::uint64_t applied = 0;  // every change up to this revision is in here
+    std::uint64_t applied = 0;           // every change up to this revision is in here
 
     [[nodiscard]] Job* job(const std::string& id);
     [[nodiscard]] Machine* machine(const std::string& id);
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -16,7 +16,8 @@
 constexpr auto catalogPeriod = 60s;
 constexpr auto catalogRetry = 1s;
 constexpr auto listPeriod = 4s;
-constexpr auto capacityPause = 15s;
+constexpr auto firstRefusalPause = 8s;
+constexpr auto longestRefusalPause = 40s;
 constexpr double lagMargin = 2.2;  // a list may lag by up to twice the stated time
 constexpr auto listMargin = 1s;
 constexpr auto renterFirst = 10s;   // a new machine's renter records it itself
@@ -199,7 +200,7 @@
                 if (!Placement::typeAllowed(job.spec, type, zone, spot)) continue;
                 const Kind kind{type.name, zone, spot};
                 const auto refused = refused_.find(kind);
-                if (refused != refused_.end() && now < refused->second) continue;
+                if (refused != refused_.end() && now < refused->second.until) continue;
                 Resources room = type.capacity;
                 double fit = 0;
                 while (fit < tasks && job.spec.each.fits(room)) {
@@ -282,18 +283,21 @@
                             if (result == protocol::RentResult::unknown && tries > 1)
                                 return sendRental(part, kind, count, name, tries - 1);
                             asked_[part][kind] -= count;
-                            if (result == protocol::RentResult::rented) {
-                                for (const auto& id : machines)
-                                    assign(id, kind.type, kind.zone, kind.spot, part);
-                                if (static_cast<int>(machines.size()) < count)
-                                    refused_[kind] =
-                                        context_.now() + context_.jittered(capacityPause);
-                            } else {
-                                refused_[kind] = context_.now() + context_.jittered(capacityPause);
-                            }
+                            for (const auto& id : machines)
+                                assign(id, kind.type, kind.zone, kind.spot, part);
+                            if (static_cast<int>(machines.size()) < count)
+                                noteRefusal(kind);
+                            else
+                                refused_.erase(kind);
                         });
 }
 
+void Fleet::noteRefusal(const Kind& kind) {
+    auto& refusal = refused_[kind];
+    refusal.pause = std::clamp<Duration>(refusal.pause * 2, firstRefusalPause, longestRefusalPause);
+    refusal.until = context_.now() + context_.jittered(refusal.pause);
+}
+
 void Fleet::retire(Machine& machine, const char* why) {
     if (machine.retired || !retiring_.insert(machine.id).second) return;
     spdlog::info("machine {}: giving back, {}", machine.id, why);
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -48,6 +48,7 @@
     void rent(std::uint32_t part, const Kind& kind, int count);
     void sendRental(std::uint32_t part, const Kind& kind, int count, const std::string& name,
                     int tries);
+    void noteRefusal(const Kind& kind);
     void retire(Machine& machine, const char* why);
     void release();
     void forgetMachine(std::uint32_t part, const std::string& id);
@@ -58,7 +59,11 @@
     Committer& committer_;
     Placement& placement_;
     Reports& reports_;
-    std::map<Kind, SteadyTime> refused_;                  // no capacity: not before
+    struct Refusal {
+        SteadyTime until{};
+        Duration pause{};
+    };
+    std::map<Kind, Refusal> refused_;                     // no capacity: not before
     std::map<std::uint32_t, std::map<Kind, int>> asked_;  // rentals under way
     std::map<std::string, Found> unassigned_;
     std::set<std::string> assigning_;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -302,8 +302,10 @@
 std::uint32_t Placement::roomFor(const Job& job, std::uint32_t part, std::uint32_t most) {
     auto ledger = context_.ledger.lock();
     std::uint32_t room = 0;
+    // Of a peer's machines only the records are known, not whether they report.
+    const bool own = membership_.active(part);
     for (const auto& [id, machine] : ledger->machines) {
-        if (machine.part != part || machine.retired || machine.noticeEnds) continue;
+        if (machine.part != part || machine.retired || (own && !takesWork(machine))) continue;
         const auto* type = context_.type(machine.type);
         if (type == nullptr || !typeAllowed(job.spec, *type, machine.zone, machine.spot)) continue;
         Resources free = type->capacity;
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -76,8 +76,11 @@
 void Reports::takeIn(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report,
                      std::uint64_t term) {
     const auto now = context_.now();
-    if (!machine.heard)
+    if (!machine.heard) {
         spdlog::debug("machine {}: first report to part {}", machine.id, machine.part);
+        machine.idleSince = now;
+        onChange();
+    }
     machine.address = report.address;
     if (machine.session != report.session) machine.images.clear();
     machine.session = report.session;
