--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -101,6 +101,7 @@
     std::string address;
     std::uint64_t session = 0;
     std::uint64_t sequence = 0;
+    std::uint64_t endedSession = 0;  // its lease has surely run out
     std::uint64_t tokenSeen = 0;
     std::optional<SteadyTime> heard;  // last newer report, by this process as its owner
     SteadyTime silentSince{};         // leases can't have been renewed after this
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -92,7 +92,7 @@
 
 void Controller::housekeeping() {
     for (const auto part : membership_.activeParts()) {
-        reports_.expireSilent(part);
+        if (membership_.leaseStands()) reports_.expireSilent(part);
         fleet_.review(part);
     }
     std::erase_if(stopping_, [this](const std::string& id) {
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -191,7 +191,7 @@
     });
 }
 
-bool Membership::active(std::uint32_t part) {
+bool Membership::settled(std::uint32_t part) {
     const auto taken = taken_.find(part);
     if (taken == taken_.end() || !joined_ || !synced()) return false;
     auto ledger = context_.ledger.lock();
@@ -200,6 +200,12 @@
            ledger->applied >= record.version;
 }
 
+bool Membership::active(std::uint32_t part) {
+    // Only once `onActive` has put aside what was known of the part's machines. A takeover right
+    // before an outage once acted on it earlier: leases seemed to have run out long ago.
+    return settled(part) && announced_[part] == taken_[part];
+}
+
 std::vector<std::uint32_t> Membership::activeParts() {
     std::vector<std::uint32_t> parts;
     for (std::uint32_t part = 0; part < context_.partCount(); ++part)
@@ -218,6 +224,12 @@
 }
 
 void Membership::review() {
+    for (std::uint32_t part = 0; part < context_.partCount(); ++part) {
+        if (!settled(part) || announced_[part] == taken_[part]) continue;
+        announced_[part] = taken_[part];
+        spdlog::info("membership: part {} active, term {}", part, taken_[part]);
+        onActive(part);
+    }
     if (!joined_ || !synced() || !leaseStands()) return;
     const auto now = context_.now();
     for (std::uint32_t part = 0; part < context_.partCount(); ++part) {
@@ -231,12 +243,7 @@
             ownerAlive = ledger->nodes.contains(record.owner);
             naturalAlive = ledger->nodes.contains(natural);
         }
-        if (active(part)) {
-            if (announced_[part] != record.term) {
-                announced_[part] = record.term;
-                spdlog::info("membership: part {} active, term {}", part, record.term);
-                onActive(part);
-            }
+        if (settled(part)) {
             const auto peer = peers_.find(natural);
             if (natural != context_.settings.name && naturalAlive && peer != peers_.end() &&
                 peerFresh(natural) && peer->second.ready && peer->second.reachable &&
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -65,6 +65,8 @@
     void rejoinLater();
     void take(std::uint32_t part);
     void handBack(std::uint32_t part);
+    // The part is ours and the ledger holds all that preceded the taking.
+    [[nodiscard]] bool settled(std::uint32_t part);
 
     Context& context_;
     std::uint64_t hold_ = 0;
--- a/src/coordination/recorder.cpp
+++ b/src/coordination/recorder.cpp
@@ -48,7 +48,7 @@
     batch.transaction.conditions.push_back({key, slice.version});
     batch.transaction.changes.push_back({key, bookkeeping::sliceValue(slice), 0});
     batch.bytes += bytesPerChange + bytesPerClaim * slice.claims.size();
-    batch.slices.emplace_back(job.spec.id, slice.index);
+    batch.slices.push_back({job.spec.id, slice.index, slice.version});
 }
 
 void Recorder::flush(std::uint32_t part) {
@@ -93,7 +93,7 @@
             ledger->dropJob(id);
             onFinal(id, cancelled);
         }
-        for (const auto& [id, index] : batch.slices) {
+        for (const auto& [id, index, before] : batch.slices) {
             Job* job = ledger->job(id);
             if (job == nullptr) continue;
             Slice& slice = job->slices[index];
@@ -102,7 +102,13 @@
                 const auto written =
                     std::find_if(batch.transaction.changes.begin(), batch.transaction.changes.end(),
                                  [&](const auto& change) { return change.key == key; });
-                slice.version = std::max(slice.version, revision);
+                if (slice.version != before) {
+                    // Read anew while this was under way, perhaps as it stood before.
+                    bookkeeping::applyEvent(*ledger, {key, written->value, revision},
+                                            context_.now());
+                    continue;
+                }
+                slice.version = revision;
                 slice.dirty = *written->value != bookkeeping::sliceValue(slice);
                 for (auto& claim : slice.claims) {
                     // Only what this transaction carried; a later claim waits for the next.
--- a/src/coordination/recorder.h
+++ b/src/coordination/recorder.h
@@ -22,7 +22,12 @@
     struct Batch {
         protocol::Transaction transaction;
         std::vector<std::pair<std::string, bool>> finals;  // job, cancelled
-        std::vector<std::pair<std::string, std::uint32_t>> slices;
+        struct Written {
+            std::string job;
+            std::uint32_t index = 0;
+            std::uint64_t version = 0;  // before
+        };
+        std::vector<Written> slices;
         std::size_t bytes = 0;
         std::set<std::string> jobs;  // with a condition already
     };
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -50,6 +50,8 @@
                    ? misdirected(first.owner)
                    : ReportAnswer{503, {}};
     }
+    // Its part is being decided: another node may win.
+    if (machine->version == 0) return {503, {}};
     const auto& part = ledger->parts[machine->part];
     if (part.owner != context_.settings.name)
         return ledger->nodes.contains(part.owner) ? misdirected(part.owner) : ReportAnswer{503, {}};
@@ -60,6 +62,8 @@
         membership_.raiseTerm(machine->part);
         return {503, {}};
     }
+    // Its lease ran out: what was held back on the way speaks of tasks that are gone.
+    if (report.session <= machine->endedSession) return {503, {}};
     // A repeat or a late copy proves nothing new, and its sender waits no more.
     if (machine->heard && std::pair(report.session, report.sequence) <=
                               std::pair(machine->session, machine->sequence))
@@ -139,8 +143,8 @@
     Job* job = ledger.job(task.job);
     Slice* slice = job == nullptr ? nullptr : job->sliceOf(task.index);
     Claim* claim = slice == nullptr ? nullptr : slice->claimOf(task.index);
-    const bool ours =
-        claim != nullptr && claim->machine == machine.id && claim->attempt == task.attempt;
+    const bool ours = claim != nullptr && slice->part == machine.part &&
+                      claim->machine == machine.id && claim->attempt == task.attempt;
     if (!ours) {
         // Forgetting lets a repeated start run it once more; no start of ours can follow, since
         // the claim is gone, durably.
@@ -331,6 +335,7 @@
         if (machine.part != part || machine.claims.empty() || now - machine.silentSince <= lease)
             continue;
         releaseClaims(machine, "its lease has run out");
+        machine.endedSession = machine.session;
     }
     // A machine's record goes only after proof that the machine is gone; an owner that ended
     // between that and recording the end of its claims leaves them without a machine.
