--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -116,6 +116,9 @@
 
 void Ledger::dropMachine(const std::string& id) {
     machines.erase(id);
+    goneMachines.insert(id);
+    // Names are given out in order: the oldest can't be in a lagging list any more.
+    if (goneMachines.size() > maxGone) goneMachines.erase(goneMachines.begin());
 }
 
 void Ledger::replaceSlice(Job& job, Slice& slice, std::uint32_t part, std::vector<bool> done,
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -105,12 +105,11 @@
             if (job.part == part) stopBrokenGang(job);
             continue;
         }
-        if (tasks > 0) ready.push_back({&job, tasks});
+        if (tasks > 0) ready.push_back({&job, tasks, latestStart(job)});
     }
-    std::stable_sort(ready.begin(), ready.end(), [this](const Ready& a, const Ready& b) {
-        if (a.job->spec.priority != b.job->spec.priority)
-            return a.job->spec.priority < b.job->spec.priority;
-        return latestStart(*a.job) < latestStart(*b.job);
+    std::sort(ready.begin(), ready.end(), [](const Ready& a, const Ready& b) {
+        return std::tie(a.job->spec.priority, a.latest, a.job->spec.id) <
+               std::tie(b.job->spec.priority, b.latest, b.job->spec.id);
     });
     return ready;
 }
@@ -245,7 +244,8 @@
         std::set<std::string> found;
         for (const auto& [id, machine] : ledger.machines)
             if (machine.part == part) found.insert(machine.zone);
-        zones.assign(found.begin(), found.end());
+        zones.clear();
+        for (const auto& zone : found) zones.push_back(zone);
     }
     const auto attempt = nextAttempt(part);
     std::vector<std::uint32_t> best;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -39,6 +39,7 @@
     struct Ready {
         Job* job = nullptr;
         std::uint32_t tasks = 0;
+        transport::WallTime latest;
     };
 
     std::vector<Ready> readyJobs(Ledger& ledger, std::uint32_t part);
--- /dev/null
+++ b/tests/sim/checker.cpp
@@ -0,0 +1,125 @@
+#include "sim/checker.h"
+
+#include <algorithm>
+
+namespace fawnwheel::sim {
+
+namespace {
+
+constexpr Time longestSilence{90};
+
+}  // namespace
+
+void Checker::breach(const std::string& rule, const std::string& what) {
+    breaches_.push_back(rule + ": " + what);
+}
+
+void Checker::submitted(const protocol::JobSpec& spec) {
+    jobs_[spec.id].spec = spec;
+}
+
+void Checker::askedToCancel(const std::string& job) {
+    jobs_[job].cancelAsked = true;
+}
+
+void Checker::started(const std::string& id, std::uint32_t task, const Place& place, Time at) {
+    ++starts_;
+    JobTruth& job = jobs_[id];
+    const auto name = id + "/" + std::to_string(task);
+    for (const auto& [machine, other] : job.on[task])
+        if (machine != place.machine)
+            breach("ran_twice", name + " on " + machine + " and " + place.machine);
+    const auto& spec = job.spec;
+    if ((spec.types &&
+         std::find(spec.types->begin(), spec.types->end(), place.type) == spec.types->end()) ||
+        (spec.zone && *spec.zone != place.zone) || (place.spot && !spec.spot))
+        breach("wrong_place", name + " on " + place.machine);
+    std::uint32_t sameZone = 1;
+    for (const auto& [other, places] : job.on) {
+        for (const auto& [machine, where] : places) {
+            if (other == task && machine == place.machine) continue;
+            if (where.zone == place.zone)
+                ++sameZone;
+            else if (spec.oneZone)
+                breach("wrong_place", name + " away from its job's zone");
+        }
+    }
+    if (spec.spread && sameZone > (spec.tasks + 1) / 2)
+        breach("wrong_place", name + " one too many in " + place.zone);
+    if (job.final == "cancelled" && at > job.cancelledAt + cancelLimit_)
+        breach("ran_cancelled", name + " started");
+    job.on[task][place.machine] = place;
+    for (const auto& team : teams_) {
+        if (team.name != spec.team) continue;
+        protocol::Resources used;
+        for (const auto& [other, truth] : jobs_)
+            if (truth.spec.team == team.name)
+                for (const auto& [index, places] : truth.on)
+                    for (std::size_t i = 0; i < places.size(); ++i) used += truth.spec.each;
+        if ((team.cpusMax > 0 && used.cpus > team.cpusMax + 1e-6) ||
+            (team.gpusMax > 0 && used.gpus > team.gpusMax + 1e-6))
+            breach("quota", team.name + " with " + name);
+    }
+}
+
+void Checker::ended(const std::string& id, std::uint32_t task, const std::string& machine,
+                    bool completed) {
+    JobTruth& job = jobs_[id];
+    job.on[task].erase(machine);
+    if (completed) job.done.insert(task);
+}
+
+void Checker::tick(Time at) {
+    for (auto& [id, job] : jobs_) {
+        if (job.final != "cancelled" || at <= job.cancelledAt + cancelLimit_) continue;
+        for (const auto& [task, places] : job.on)
+            if (!places.empty())
+                breach("ran_cancelled", id + "/" + std::to_string(task) + " still there");
+        job.on.clear();
+    }
+}
+
+bool Checker::truthDone(const std::string& id) const {
+    const auto found = jobs_.find(id);
+    return found != jobs_.end() && found->second.done.size() == found->second.spec.tasks;
+}
+
+void Checker::told(const std::string& id, const std::string& state, Time at) {
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end() || found->second.spec.tasks == 0)
+        return breach("invented", id + " is called " + state);
+    JobTruth& job = found->second;
+    job.accepted = true;
+    job.answeredAt = at;
+    if (state == "done" && job.done.size() < job.spec.tasks)
+        breach("not_done", id + " with " + std::to_string(job.done.size()) + " tasks done");
+    if (!job.final.empty() && state != job.final)
+        breach("went_back", id + " was " + job.final + ", is " + state);
+    if (state == "cancelled" && !job.cancelAsked) breach("went_back", id + " cancelled unasked");
+    if (job.final.empty() && (state == "done" || state == "cancelled")) {
+        job.final = state;
+        job.cancelledAt = at;
+    }
+}
+
+void Checker::toldUnknown(const std::string& id) {
+    const auto found = jobs_.find(id);
+    if (found != jobs_.end() && found->second.accepted) breach("forgotten", id + " got 404");
+}
+
+void Checker::toldInvalid(const std::string& id) {
+    const auto found = jobs_.find(id);
+    if (found != jobs_.end() && found->second.accepted)
+        breach("forgotten", id + " was refused when submitted again");
+}
+
+void Checker::pollFailed(const std::string& id, Time at) {
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end() || !found->second.accepted) return;
+    if (at - found->second.answeredAt > longestSilence) {
+        breach("forgotten", id + " got no answer for long");
+        found->second.answeredAt = at;
+    }
+}
+
+}  // namespace fawnwheel::sim
--- /dev/null
+++ b/tests/sim/checker.h
@@ -0,0 +1,68 @@
+// Watches the stand-in world and notes every breach of a rule.
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "app/settings.h"
+#include "protocol/messages.h"
+
+namespace fawnwheel::sim {
+
+using Time = std::chrono::duration<double>;  // since the scenario began
+
+struct Place {
+    std::string machine;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+};
+
+class Checker {
+  public:
+    Checker(std::vector<app::Team> teams, Time cancelLimit)
+        : teams_(std::move(teams)), cancelLimit_(cancelLimit) {}
+
+    // From the world: what truly happens.
+    void submitted(const protocol::JobSpec& spec);
+    void askedToCancel(const std::string& job);
+    void started(const std::string& job, std::uint32_t task, const Place& place, Time at);
+    void ended(const std::string& job, std::uint32_t task, const std::string& machine,
+               bool completed);
+    void tick(Time at);
+
+    // From the users: what they were answered.
+    void told(const std::string& job, const std::string& state, Time at);
+    void toldUnknown(const std::string& job);
+    void toldInvalid(const std::string& job);
+    void pollFailed(const std::string& job, Time at);
+
+    [[nodiscard]] const std::vector<std::string>& breaches() const { return breaches_; }
+    [[nodiscard]] std::size_t starts() const { return starts_; }
+    [[nodiscard]] bool truthDone(const std::string& job) const;
+
+  private:
+    struct JobTruth {
+        protocol::JobSpec spec;
+        bool accepted = false;
+        bool cancelAsked = false;
+        std::string final;  // told
+        Time cancelledAt{};
+        Time answeredAt{};
+        std::set<std::uint32_t> done;
+        std::map<std::uint32_t, std::map<std::string, Place>> on;  // task -> machine
+    };
+
+    void breach(const std::string& rule, const std::string& what);
+
+    std::vector<app::Team> teams_;
+    Time cancelLimit_;
+    std::map<std::string, JobTruth> jobs_;
+    std::vector<std::string> breaches_;
+    std::size_t starts_ = 0;
+};
+
+}  // namespace fawnwheel::sim
--- /dev/null
+++ b/tests/sim/scenario_main.cpp
@@ -0,0 +1,236 @@
+// Runs one scenario file: `scenario_runner FILE [SEEDS]`. The words of the files are described in
+// tests/scenarios/README.md.
+#include <spdlog/spdlog.h>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "sim/world.h"
+
+namespace {
+
+using namespace fawnwheel;
+using sim::Time;
+
+struct BadScenario : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// The words of a line: a name, then values by key.
+struct Line {
+    std::vector<std::string> words;
+    [[nodiscard]] bool has(const std::string& key) const {
+        return std::find(words.begin(), words.end(), key) != words.end();
+    }
+    [[nodiscard]] std::string text(const std::string& key, const std::string& fallback = {}) const {
+        for (std::size_t i = 0; i + 1 < words.size(); ++i)
+            if (words[i] == key) return words[i + 1];
+        return fallback;
+    }
+    [[nodiscard]] double number(const std::string& key, double fallback = 0) const {
+        const auto value = text(key);
+        return value.empty() ? fallback : std::stod(value);
+    }
+    [[nodiscard]] const std::string& at(std::size_t index) const {
+        if (index >= words.size()) throw BadScenario("too few words: " + words.front());
+        return words[index];
+    }
+    [[nodiscard]] double numberAt(std::size_t index) const { return std::stod(at(index)); }
+};
+
+protocol::JobSpec jobFrom(const Line& line, std::size_t from) {
+    protocol::JobSpec spec;
+    spec.id = line.at(from);
+    spec.jobClass = "test";
+    spec.team = line.text("team", "crew");
+    const auto kind = line.text("kind", "array");
+    spec.kind = kind == "gang"      ? protocol::JobKind::gang
+                : kind == "service" ? protocol::JobKind::service
+                                    : protocol::JobKind::array;
+    const auto priority = line.text("priority", "normal");
+    spec.priority = priority == "production" ? protocol::Priority::production
+                    : priority == "high"     ? protocol::Priority::high
+                    : priority == "low"      ? protocol::Priority::low
+                                             : protocol::Priority::normal;
+    spec.tasks = static_cast<std::uint32_t>(line.number("tasks", 1));
+    spec.each = {line.number("cpus", 1), line.number("gpus", 0), line.number("memory", 1)};
+    spec.image = line.text("image", "img-1");
+    spec.imageSize = line.number("image_gb", 1);
+    if (line.has("type")) spec.types = {{line.text("type")}};
+    if (line.has("zone")) spec.zone = line.text("zone");
+    spec.oneZone = line.has("one-zone");
+    spec.spread = line.has("spread");
+    spec.spot = line.has("spot");
+    spec.estimate = Time(line.number("runs", 10));
+    spec.checkpoint = Time(line.number("checkpoint", 0));
+    spec.save = Time(line.number("save", 1));
+    return spec;
+}
+
+class Scenario {
+  public:
+    explicit Scenario(const std::string& path) {
+        std::ifstream file(path);
+        if (!file) throw BadScenario("can't read " + path);
+        std::string text;
+        while (std::getline(file, text)) {
+            text = text.substr(0, text.find('#'));
+            std::istringstream in(text);
+            Line line;
+            for (std::string word; in >> word;) line.words.push_back(word);
+            if (!line.words.empty()) lines_.push_back(std::move(line));
+        }
+    }
+
+    // The failures; none: passed.
+    std::vector<std::string> run(std::uint64_t seed) {
+        sim::WorldSpec spec;
+        spec.seed = seed;
+        for (const auto& line : lines_) describe(spec, line);
+        sim::World world(spec);
+        Time end(300);
+        for (const auto& line : lines_) {
+            const auto& word = line.words.front();
+            if (word == "machines")
+                for (int i = 0; i < line.numberAt(3); ++i)
+                    world.addMachine(line.at(1), line.at(2), line.has("spot"));
+            else if (word == "end")
+                end = Time(line.numberAt(1));
+            else if (word == "at")
+                world.at(Time(line.numberAt(1)), [this, &world, line] { act(world, line); });
+        }
+        world.run(end);
+        auto failures = world.checker().breaches();
+        for (const auto& line : lines_)
+            if (line.words.front() == "expect") expect(world, line, failures);
+        return failures;
+    }
+
+  private:
+    static void describe(sim::WorldSpec& spec, const Line& line) {
+        const auto& word = line.words.front();
+        if (word == "nodes") spec.nodes = static_cast<int>(line.numberAt(1));
+        if (word == "zones") spec.zones.assign(line.words.begin() + 1, line.words.end());
+        if (word == "lease") spec.lease = Time(line.numberAt(1));
+        if (word == "list-lag") spec.listLag = Time(line.numberAt(1));
+        if (word == "idle") spec.tuning.idleBeforeReturn = Time(line.numberAt(1));
+        if (word == "state-limits") {
+            spec.stateRequests = line.numberAt(1);
+            spec.stateWrites = line.numberAt(2);
+        }
+        if (word == "team") {
+            app::Team team;
+            team.name = line.at(1);
+            team.cpusMax = line.number("cpus_max");
+            team.gpusMax = line.number("gpus_max");
+            spec.teams.push_back(team);
+        }
+        if (word == "type") {
+            sim::TypeSpec type;
+            type.type.name = line.at(1);
+            type.type.capacity = {line.number("cpus", 8), line.number("gpus", 0),
+                                  line.number("memory", 32)};
+            type.type.cacheSize = 50;
+            type.type.fetchRate = line.number("fetch", 1);
+            type.type.price = line.number("price", 1);
+            type.type.spotPrice = line.number("spot_price", 0.4);
+            type.type.bootTime = Time(line.number("boot", 20));
+            type.capacity = static_cast<int>(line.number("capacity", 20));
+            type.spotCapacity = static_cast<int>(line.number("spot_capacity", 0));
+            spec.types.push_back(type);
+        }
+    }
+
+    static void act(sim::World& world, const Line& line) {
+        const auto& word = line.at(2);
+        const auto length = [&](std::size_t i) { return Time(line.numberAt(i)); };
+        const auto index = [&](std::size_t i) { return static_cast<int>(line.numberAt(i)); };
+        const auto machine = [&](std::size_t i) {
+            return static_cast<std::size_t>(line.numberAt(i));
+        };
+        if (word == "job") {
+            const int count = static_cast<int>(line.number("count", 1));
+            for (int i = 0; i < count; ++i) {
+                auto job = jobFrom(line, 3);
+                if (count > 1) job.id += "-" + std::to_string(i);
+                world.submit(job, Time(line.number("runs", 10)), line.has("faulty"));
+            }
+        } else if (word == "cancel") {
+            world.cancel(line.at(3));
+        } else if (word == "ask") {
+            world.askAbout(line.at(3));
+        } else if (word == "kill") {
+            world.kill(index(3), length(5));
+        } else if (word == "state-outage") {
+            world.stateOutage(length(3));
+        } else if (word == "cloud-outage") {
+            world.cloudOutage(length(3));
+        } else if (word == "refuse-state") {
+            world.refuseState(index(3), length(5));
+        } else if (word == "cut") {
+            world.cut(line.at(3), line.at(4), length(6), line.has("hold"));
+        } else if (word == "cut-workers") {
+            for (int i = 0; i < 60; ++i) {
+                auto name = std::to_string(i);
+                name = "m-" + std::string(6 - name.size(), '0') + name;
+                world.cut("node-" + line.at(3), name, length(5), line.has("hold"));
+            }
+        } else if (word == "hang") {
+            world.hang(machine(3), length(5));
+        } else if (word == "die") {
+            world.die(machine(3));
+        } else if (word == "notice") {
+            world.notice(machine(3), length(4));
+        } else if (word == "break") {
+            world.breakMachine(machine(3));
+        } else if (word == "lose-answers") {
+            world.loseAnswers(line.numberAt(3));
+        } else {
+            throw BadScenario("unknown: " + word);
+        }
+    }
+
+    static void expect(sim::World& world, const Line& line, std::vector<std::string>& failures) {
+        const auto& word = line.at(1);
+        if (word == "told") {
+            const auto told = world.lastTold(line.at(2));
+            if (told != line.at(3))
+                failures.push_back(line.at(2) + " was told " + told + ", not " + line.at(3));
+        } else if (word == "starts-at-most") {
+            if (static_cast<double>(world.checker().starts()) > line.numberAt(2))
+                failures.push_back(std::to_string(world.checker().starts()) + " starts");
+        } else if (word == "machines-at-most") {
+            if (static_cast<double>(world.machinesUp()) > line.numberAt(2))
+                failures.push_back(std::to_string(world.machinesUp()) + " machines up");
+        } else {
+            throw BadScenario("unknown: expect " + word);
+        }
+    }
+
+    std::vector<Line> lines_;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    if (argc < 2) return 2;
+    spdlog::set_level(argc > 3 ? spdlog::level::debug : spdlog::level::off);
+    spdlog::set_pattern("%L %v");
+    try {
+        Scenario scenario(argv[1]);
+        const auto seeds = argc > 2 ? std::stoull(argv[2]) : 3ULL;
+        bool passed = true;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            for (const auto& failure : scenario.run(seed)) {
+                std::cout << "seed " << seed << ": " << failure << '\n';
+                passed = false;
+            }
+        }
+        std::cout << (passed ? "passed" : "failed") << '\n';
+        return passed ? 0 : 1;
+    } catch (const std::exception& error) {
+        std::cerr << argv[1] << ": " << error.what() << '\n';
+        return 2;
+    }
+}
--- /dev/null
+++ b/tests/sim/world.h
@@ -0,0 +1,154 @@
+// A world in virtual time: stand-ins for the state service, the cloud, workers and users, and the
+// real controllers among them.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "coordination/controller.h"
+#include "sim/checker.h"
+
+namespace fawnwheel::sim {
+
+struct TypeSpec {
+    protocol::MachineType type;
+    int capacity = 20;      // per zone
+    int spotCapacity = 20;  // per zone
+};
+
+struct WorldSpec {
+    std::uint64_t seed = 1;
+    int nodes = 3;
+    std::vector<std::string> zones{"a", "b"};
+    std::vector<TypeSpec> types;
+    std::vector<app::Team> teams;
+    app::OperatorSettings tuning;
+    Time lease{30};
+    Time cancel{60};
+    Time listLag{4};
+    double stateRequests = 120;
+    double stateWrites = 60;
+};
+
+class World {
+  public:
+    explicit World(WorldSpec spec);
+    ~World();
+    World(const World&) = delete;
+    World& operator=(const World&) = delete;
+
+    void addMachine(const std::string& type, const std::string& zone, bool spot);
+    void at(Time when, std::function<void()> action);
+    void run(Time until);
+
+    // Users
+    void submit(const protocol::JobSpec& spec, Time runs, bool faulty);
+    void cancel(const std::string& job);
+    void askAbout(const std::string& job);
+
+    // Troubles
+    void kill(int node, Time down);
+    void stateOutage(Time length);
+    void cloudOutage(Time length);
+    void cut(const std::string& one, const std::string& other, Time length, bool hold);
+    void refuseState(int node, Time length);
+    void hang(std::size_t machine, Time length);
+    void die(std::size_t machine);
+    void notice(std::size_t machine, Time left);
+    void breakMachine(std::size_t machine);  // fails every task
+    void loseAnswers(double share) { lostAnswers_ = share; }
+
+    [[nodiscard]] Checker& checker() { return checker_; }
+    [[nodiscard]] std::string lastTold(const std::string& job) const;
+    [[nodiscard]] std::size_t machinesUp() const;
+    [[nodiscard]] Time now() const { return now_; }
+
+  private:
+    friend class NodeClock;
+    friend class NodeNetwork;
+    struct Node;
+    struct Worker;
+    struct Task;
+    struct Truth {
+        protocol::JobSpec spec;
+        Time runs{};
+        bool faulty = false;
+        bool submitted = false;
+        std::map<std::uint32_t, Time> saved;
+        std::set<std::uint32_t> done;
+        std::string told;
+        bool over = false;
+    };
+    struct Record {
+        protocol::Json value;
+        std::uint64_t version = 0;
+        std::uint64_t hold = 0;
+    };
+    struct Watch {
+        std::string prefix;
+        std::uint64_t since = 0;
+        transport::HttpReply reply;
+        bool open = true;
+    };
+
+    void startNode(int index);
+    // One message from host to host: latency, cuts.
+    void deliver(const std::string& from, const std::string& to, std::function<void()> action);
+    void request(const std::string& from, const std::string& address,
+                 transport::HttpRequest request, Time timeout, transport::HttpDone done);
+    void serve(const std::string& from, const std::string& host,
+               const transport::HttpRequest& request, transport::HttpReply reply);
+
+    void serveState(const std::string& from, const transport::HttpRequest& request,
+                    const transport::HttpReply& reply);
+    transport::HttpResponse stateTransaction(const protocol::Json& body);
+    void changed(const std::string& key, bool deleted);
+    void answerWatches();
+    void expireHolds();
+    void serveCloud(const transport::HttpRequest& request, const transport::HttpReply& reply);
+
+    Worker* worker(const std::string& id);
+    void startWorker(Worker& worker);
+    void report(Worker& worker);
+    void reportSoon(Worker& worker);
+    void obey(Worker& worker, const protocol::Json& calls);
+    void stepWorker(Worker& worker);
+    void endTask(Worker& worker, Task& task, const char* cause, bool kept);
+    void killAll(Worker& worker);
+    [[nodiscard]] protocol::Json reportBody(Worker& worker) const;
+    void gangStep(const std::string& job);
+    void poll(const std::string& job);
+    void sendSubmit(const std::string& job, Time first);
+    int someNode();
+
+    WorldSpec spec_;
+    std::mt19937_64 rng_;
+    Checker checker_;
+    Time now_{};
+    std::multimap<Time, std::function<void()>> queue_;
+    std::vector<std::unique_ptr<Node>> nodes_;
+    std::map<std::string, std::unique_ptr<Worker>> workers_;
+    std::map<std::string, Truth> truths_;
+    std::map<std::string, Record> records_;
+    std::uint64_t revision_ = 0;
+    std::deque<std::tuple<std::uint64_t, std::string, std::optional<protocol::Json>>> log_;
+    std::map<std::uint64_t, std::pair<Time, Time>> holds_;  // ends, length
+    std::uint64_t nextHold_ = 1;
+    std::vector<std::shared_ptr<Watch>> watches_;
+    Time stateBackAt_{};
+    Time cloudBackAt_{};
+    std::map<std::string, Time> refusedUntil_;
+    struct Cut {
+        Time until{};
+        bool hold = false;
+    };
+    std::map<std::pair<std::string, std::string>, Cut> cuts_;
+    std::map<std::string, std::vector<std::string>> rentals_;
+    int nextMachine_ = 0;
+    double lostAnswers_ = 0;
+};
+
+}  // namespace fawnwheel::sim
--- /dev/null
+++ b/tests/unit/checker_test.cpp
@@ -0,0 +1,114 @@
+// The scenarios' checker must catch a planted breach of every rule.
+#include "sim/checker.h"
+
+#include <gtest/gtest.h>
+
+namespace fawnwheel::sim {
+namespace {
+
+class Planted : public ::testing::Test {
+  protected:
+    Planted() : checker({{"crew", 0, 0, 4, 0}}, Time(10)) {
+        spec.id = "run-1";
+        spec.team = "crew";
+        spec.tasks = 3;
+        spec.each = {2, 0, 1};
+        spec.types = {{"small"}};
+        spec.zone = "a";
+        checker.submitted(spec);
+    }
+    void expectOnly(const std::string& rule) {
+        ASSERT_EQ(checker.breaches().size(), 1U);
+        EXPECT_TRUE(checker.breaches().front().starts_with(rule + ":"));
+    }
+
+    Checker checker;
+    protocol::JobSpec spec;
+    Place here{"m-1", "small", "a", false};
+};
+
+TEST_F(Planted, NothingOnAGoodDay) {
+    checker.told("run-1", "pending", Time(0));
+    for (std::uint32_t task = 0; task < 3; ++task) {
+        checker.started("run-1", task, here, Time(1));
+        checker.ended("run-1", task, "m-1", true);
+    }
+    checker.told("run-1", "done", Time(2));
+    EXPECT_TRUE(checker.breaches().empty());
+}
+TEST_F(Planted, RanTwice) {
+    checker.started("run-1", 0, here, Time(1));
+    checker.started("run-1", 0, {"m-2", "small", "a", false}, Time(2));
+    expectOnly("ran_twice");
+}
+TEST_F(Planted, Quota) {
+    for (std::uint32_t task = 0; task < 3; ++task) checker.started("run-1", task, here, Time(1));
+    expectOnly("quota");
+}
+TEST_F(Planted, WrongType) {
+    checker.started("run-1", 0, {"m-1", "large", "a", false}, Time(1));
+    expectOnly("wrong_place");
+}
+TEST_F(Planted, WrongZone) {
+    checker.started("run-1", 0, {"m-1", "small", "b", false}, Time(1));
+    expectOnly("wrong_place");
+}
+TEST_F(Planted, WrongKind) {
+    checker.started("run-1", 0, {"m-1", "small", "a", true}, Time(1));
+    expectOnly("wrong_place");
+}
+TEST_F(Planted, TooManyInOneZone) {
+    spec.id = "run-2";
+    spec.each = {0.5, 0, 1};
+    spec.spread = true;
+    checker.submitted(spec);
+    for (std::uint32_t task = 0; task < 3; ++task) checker.started("run-2", task, here, Time(1));
+    expectOnly("wrong_place");
+}
+TEST_F(Planted, RanCancelled) {
+    checker.askedToCancel("run-1");
+    checker.started("run-1", 0, here, Time(1));
+    checker.told("run-1", "cancelled", Time(2));
+    checker.tick(Time(11));
+    EXPECT_TRUE(checker.breaches().empty());
+    checker.tick(Time(13));
+    expectOnly("ran_cancelled");
+}
+TEST_F(Planted, Forgotten) {
+    checker.told("run-1", "pending", Time(1));
+    checker.toldUnknown("run-1");
+    expectOnly("forgotten");
+}
+TEST_F(Planted, ForgottenWhenSubmittedAgain) {
+    checker.told("run-1", "pending", Time(1));
+    checker.toldInvalid("run-1");
+    expectOnly("forgotten");
+}
+TEST_F(Planted, ForgottenBySilence) {
+    checker.told("run-1", "pending", Time(1));
+    checker.pollFailed("run-1", Time(80));
+    EXPECT_TRUE(checker.breaches().empty());
+    checker.pollFailed("run-1", Time(92));
+    expectOnly("forgotten");
+}
+TEST_F(Planted, Invented) {
+    checker.told("run-9", "pending", Time(1));
+    expectOnly("invented");
+}
+TEST_F(Planted, NotDone) {
+    checker.told("run-1", "done", Time(1));
+    expectOnly("not_done");
+}
+TEST_F(Planted, WentBack) {
+    checker.askedToCancel("run-1");
+    checker.told("run-1", "cancelled", Time(1));
+    checker.told("run-1", "running", Time(2));
+    expectOnly("went_back");
+}
+TEST_F(Planted, CancelledUnasked) {
+    checker.told("run-1", "cancelled", Time(1));
+    expectOnly("went_back");
+}
+
+}  // namespace
+}  // namespace fawnwheel::sim
--- /dev/null
+++ b/tests/unit/messages_test.cpp
@@ -0,0 +1,122 @@
+#include "protocol/messages.h"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <random>
+
+#include "protocol/names.h"
+
+namespace fawnwheel::protocol {
+namespace {
+
+Json goodJob() {
+    JobSpec spec;
+    spec.id = "run-000412";
+    spec.jobClass = "train";
+    spec.team = "crew";
+    spec.kind = JobKind::gang;
+    spec.priority = Priority::high;
+    spec.tasks = 16;
+    spec.each = {8, 1, 64};
+    spec.image = "img-07";
+    spec.imageSize = 6.2;
+    spec.types = {{"g8"}};
+    spec.oneZone = true;
+    spec.estimate = Seconds(240);
+    spec.deadline = Seconds(900);
+    return encodeJobSpec(spec);
+}
+
+bool accepted(const Json& body) {
+    return std::holds_alternative<JobSpec>(parseJobSpec(body));
+}
+
+TEST(JobSpec, RoundTrips) {
+    const auto parsed = std::get<JobSpec>(parseJobSpec(goodJob()));
+    EXPECT_EQ(encodeJobSpec(parsed), goodJob());
+    EXPECT_EQ(parsed.tasks, 16U);
+    EXPECT_EQ(parsed.deadline, Seconds(900));
+}
+
+TEST(JobSpec, TakesNullAbsentAndUnknownFieldsAlike) {
+    auto body = goodJob();
+    body[wire::zone] = nullptr;
+    body[wire::types] = nullptr;
+    body["surprise"] = {1, 2, 3};
+    EXPECT_TRUE(accepted(body));
+    body.erase(wire::types);
+    EXPECT_TRUE(accepted(body));
+}
+
+TEST(JobSpec, RefusesWhatIsMissingIllTypedOrOutOfRange) {
+    for (const auto* field : {wire::id, wire::team, wire::kind, wire::priority, wire::tasks,
+                              wire::cpus, wire::image, wire::estimate}) {
+        auto body = goodJob();
+        body.erase(field);
+        EXPECT_FALSE(accepted(body)) << field;
+        body[field] = Json::array();
+        EXPECT_FALSE(accepted(body)) << field;
+    }
+    const std::vector<std::pair<const char*, Json>> bad{
+        {wire::id, "412"},        {wire::id, "run-"},    {wire::id, "run-a b"},
+        {wire::id, "run-a/b"},    {wire::tasks, 0},      {wire::tasks, 100'001},
+        {wire::tasks, 1.5},       {wire::cpus, -1.0},    {wire::cpus, std::nan("")},
+        {wire::memory, INFINITY}, {wire::kind, "swarm"}, {wire::priority, "highest"},
+        {wire::types, "g8"},      {wire::types, {1}},    {wire::spot, "yes"},
+        {wire::deadline, "soon"}};
+    for (const auto& [field, value] : bad) {
+        auto body = goodJob();
+        body[field] = value;
+        EXPECT_FALSE(accepted(body)) << field << " " << value;
+    }
+    EXPECT_FALSE(accepted(Json::array()));
+    EXPECT_FALSE(accepted(Json("text")));
+}
+
+TEST(Cbor, SurvivesDamageAndDepth) {
+    std::mt19937 rng(7);
+    const auto good = encodeCbor(goodJob());
+    for (int i = 0; i < 20'000; ++i) {
+        auto bytes = good;
+        for (int j = 0; j < 3; ++j) bytes[rng() % bytes.size()] = static_cast<char>(rng());
+        if (rng() % 4 == 0) bytes.resize(rng() % bytes.size());
+        if (const auto decoded = decodeCbor(bytes)) {
+            parseJobSpec(*decoded);
+            parseWorkerReport(*decoded);
+        }
+    }
+    EXPECT_FALSE(decodeCbor(std::string(60'000, '\x81')));
+    EXPECT_FALSE(decodeCbor(std::string(60'000, '\x9f')));
+    EXPECT_FALSE(decodeCbor("\xbb\xff\xff\xff\xff\xff\xff\xff\xff"));
+    EXPECT_FALSE(decodeCbor(""));
+    EXPECT_TRUE(decodeCbor(good));
+}
+
+TEST(WorkerReport, ReadsTasksAndRefusesBadNames) {
+    Json body{{wire::machine, "m-1"},
+              {wire::session, 2},
+              {wire::sequence, 9},
+              {wire::token, 41},
+              {wire::notice, nullptr},
+              {wire::tasks,
+               {{{wire::task, "run-1/3"},
+                 {wire::attempt, 7},
+                 {wire::state, wire::stateExited},
+                 {wire::cause, wire::causeDone}}}}};
+    const auto report = parseWorkerReport(body);
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->tasks.at(0).job, "run-1");
+    EXPECT_EQ(report->tasks.at(0).index, 3U);
+    EXPECT_EQ(report->tasks.at(0).state, TaskState::exited);
+    EXPECT_EQ(report->tasks.at(0).cause, ExitCause::done);
+    EXPECT_FALSE(report->notice);
+    body[wire::tasks][0][wire::task] = "run-1";
+    EXPECT_FALSE(parseWorkerReport(body));
+    body[wire::tasks] = Json::array();
+    body[wire::machine] = "m/1";
+    EXPECT_FALSE(parseWorkerReport(body));
+}
+
+}  // namespace
+}  // namespace fawnwheel::protocol
--- /dev/null
+++ b/tests/unit/peer_codec_test.cpp
@@ -0,0 +1,69 @@
+#include "protocol/peer_codec.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace fawnwheel::protocol {
+namespace {
+
+template <typename Message>
+Message roundTrip(const Message& message) {
+    const auto decoded = decodePeer(encodePeer({"node-1", message}));
+    EXPECT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded->sender, "node-1");
+    return std::get<Message>(decoded->message);
+}
+
+TEST(PeerCodec, CarriesEveryField) {
+    const auto status = roundTrip(Status{~0ULL, 127, true, false});
+    EXPECT_EQ(status.sentAt, ~0ULL);
+    EXPECT_EQ(status.echo, 127U);
+    EXPECT_TRUE(status.stateReachable);
+    EXPECT_FALSE(status.ready);
+    const auto ask = roundTrip(MoveAsk{300, 2, "run-1", 7, true, 100'000});
+    EXPECT_EQ(ask.ask, 300U);
+    EXPECT_EQ(ask.part, 2U);
+    EXPECT_EQ(ask.job, "run-1");
+    EXPECT_EQ(ask.slice, 7U);
+    EXPECT_TRUE(ask.wholeJob);
+    EXPECT_EQ(ask.tasks, 100'000U);
+    EXPECT_TRUE(roundTrip(MoveAnswer{1, true}).accepted);
+}
+
+TEST(PeerCodec, RefusesOtherVersionsKindsAndTrailingBytes) {
+    auto frame = encodePeer({"n", MoveAnswer{1, true}});
+    auto other = frame;
+    other[0] = 9;
+    EXPECT_FALSE(decodePeer(other));
+    other = frame;
+    other[1] = 100;
+    EXPECT_FALSE(decodePeer(other));
+    EXPECT_FALSE(decodePeer(frame + "x"));
+    EXPECT_FALSE(decodePeer(""));
+    for (std::size_t length = 0; length < frame.size(); ++length)
+        EXPECT_FALSE(decodePeer(frame.substr(0, length)));
+}
+
+TEST(PeerCodec, RefusesOverlongVarints) {
+    VarintReader reader("\xff\xff\xff\xff\xff\xff\xff\xff\xff\x7f");
+    reader.number();
+    EXPECT_FALSE(reader.ok());
+}
+
+TEST(PeerCodec, SurvivesRandomAndDamagedFrames) {
+    std::mt19937 rng(42);
+    const auto good = encodePeer({"node-1", MoveAsk{300, 2, "run-1", 7, true, 5}});
+    for (int i = 0; i < 20'000; ++i) {
+        std::string frame = good;
+        if (i % 2 == 0) frame.resize(rng() % 64);
+        for (auto& c : frame)
+            if (i % 2 == 0 || rng() % 8 == 0) c = static_cast<char>(rng());
+        if (const auto decoded = decodePeer(frame)) {
+            EXPECT_LE(decoded->sender.size(), frame.size());
+        }
+    }
+}
+
+}  // namespace
+}  // namespace fawnwheel::protocol
--- /dev/null
+++ b/tests/unit/records_test.cpp
@@ -0,0 +1,124 @@
+#include "bookkeeping/records.h"
+
+#include <gtest/gtest.h>
+
+namespace fawnwheel::bookkeeping {
+namespace {
+
+class Records : public ::testing::Test {
+  protected:
+    void put(const std::string& key, const Json& value, std::uint64_t version) {
+        applyEvent(ledger, {key, value, version}, {});
+    }
+    void drop(const std::string& key, std::uint64_t version) {
+        applyEvent(ledger, {key, std::nullopt, version}, {});
+    }
+    Job makeJob(std::uint32_t tasks) {
+        Job job;
+        job.spec.id = "run-1";
+        job.spec.jobClass = "c";
+        job.spec.team = "t";
+        job.spec.tasks = tasks;
+        job.spec.each = {2, 0, 1};
+        job.spec.image = "i";
+        job.sliceSize = 4;
+        job.slices = makeSlices(job.spec, 4, 1);
+        job.part = 1;
+        return job;
+    }
+    void putMachine(const std::string& id, std::uint64_t version) {
+        Machine machine;
+        machine.type = "small";
+        machine.zone = "a";
+        machine.part = 1;
+        put(keys::machine(id), machineValue(machine), version);
+    }
+
+    Ledger ledger;
+};
+
+TEST_F(Records, MirrorsAJobWithItsSlicesAndClaims) {
+    const Job job = makeJob(10);
+    put(keys::job("run-1"), jobValue(job), 5);
+    ASSERT_NE(ledger.job("run-1"), nullptr);
+    ASSERT_EQ(ledger.job("run-1")->slices.size(), 3U);
+    EXPECT_EQ(ledger.job("run-1")->slices[2].done.size(), 2U);
+
+    Slice slice = job.slices[1];
+    slice.part = 2;
+    slice.markDone(4);
+    slice.markDone(5);
+    slice.markDone(7);
+    Claim claim;
+    claim.task = 6;
+    claim.machine = "m-1";
+    claim.attempt = 1ULL << 40U;
+    slice.claims.push_back(claim);
+    put(keys::slice("run-1", 1), sliceValue(slice), 8);
+    Slice& read = ledger.job("run-1")->slices[1];
+    EXPECT_EQ(read.part, 2U);
+    EXPECT_EQ(read.done, slice.done);
+    EXPECT_EQ(read.doneCount, 3U);
+    ASSERT_EQ(read.claims.size(), 1U);
+    EXPECT_EQ(read.claims[0].attempt, 1ULL << 40U);
+    EXPECT_TRUE(read.claims[0].durable);
+
+    // The machine's record comes after the claim's.
+    putMachine("m-1", 9);
+    EXPECT_EQ(ledger.machine("m-1")->claims.size(), 1U);
+    EXPECT_DOUBLE_EQ(ledger.machine("m-1")->used.cpus, 2);
+}
+
+TEST_F(Records, IgnoresWhatIsOlder) {
+    Job job = makeJob(2);
+    job.cancelled = true;
+    put(keys::job("run-1"), jobValue(job), 9);
+    job.cancelled = false;
+    put(keys::job("run-1"), jobValue(job), 7);
+    EXPECT_TRUE(ledger.job("run-1")->cancelled);
+    drop(keys::job("run-1"), 8);
+    EXPECT_NE(ledger.job("run-1"), nullptr);
+    drop(keys::job("run-1"), 10);
+    EXPECT_EQ(ledger.job("run-1"), nullptr);
+}
+
+TEST_F(Records, AMoveOfTheJobTakesAlongOnlySlicesWithoutRecords) {
+    Job job = makeJob(8);
+    put(keys::job("run-1"), jobValue(job), 2);
+    put(keys::slice("run-1", 0), sliceValue(job.slices[0]), 3);
+    job.part = 2;
+    put(keys::job("run-1"), jobValue(job), 4);
+    EXPECT_EQ(ledger.job("run-1")->slices[0].part, 1U);
+    EXPECT_EQ(ledger.job("run-1")->slices[1].part, 2U);
+}
+
+TEST_F(Records, SlicesStayWithinAValue) {
+    Job job = makeJob(100'000);
+    job.spec.id = "run-000000000001";
+    for (const double kb : {4.0, 16.0}) {
+        for (const auto kind : {protocol::JobKind::array, protocol::JobKind::gang}) {
+            job.spec.kind = kind;
+            const auto size = sliceSizeFor(job.spec, kb);
+            auto slices = makeSlices(job.spec, size, 2);
+            Slice& slice = slices.front();
+            for (std::uint32_t i = 0; i < slice.done.size(); ++i) {
+                Claim claim;
+                claim.task = i;
+                claim.machine = "m-123456789";
+                claim.attempt = (1ULL << 44U) + i;
+                slice.claims.push_back(claim);
+            }
+            EXPECT_LE(sliceValue(slice).dump().size(), kb * 1024) << kb;
+        }
+    }
+}
+
+TEST_F(Records, TellsGoneMachinesFromNewOnes) {
+    putMachine("m-1", 3);
+    drop(keys::machine("m-1"), 4);
+    EXPECT_EQ(ledger.machine("m-1"), nullptr);
+    EXPECT_TRUE(ledger.goneMachines.contains("m-1"));
+}
+
+}  // namespace
+}  // namespace fawnwheel::bookkeeping
--- /dev/null
+++ b/tests/unit/settings_test.cpp
@@ -0,0 +1,54 @@
+#include "app/settings.h"
+
+#include <gtest/gtest.h>
+
+namespace fawnwheel::app {
+namespace {
+
+const std::string minimal = R"({"host_name": "n-1", "area": "a", "front": "1.2.3.4:1",
+    "internal_addr": "1.2.3.4:2",
+    "others": [{"host_name": "n-0", "area": "b", "address": "1.2.3.5:2"}],
+    "outside": {"cloud": "c:1", "state": "s:1"}})";
+
+std::string errorOf(const std::string& json) {
+    try {
+        parseSettings(json);
+    } catch (const SettingsError& error) {
+        return error.what();
+    }
+    return {};
+}
+
+TEST(Settings, TeamsAndObjectivesMayBeMissing) {
+    const auto settings = parseSettings(minimal);
+    EXPECT_TRUE(settings.teams.empty());
+    EXPECT_TRUE(settings.objectives.empty());
+    EXPECT_EQ(settings.nodeNames(), (std::vector<std::string>{"n-0", "n-1"}));
+    EXPECT_EQ(settings.zoneOf("n-0"), "b");
+}
+
+TEST(Settings, ErrorsNameTheField) {
+    EXPECT_NE(errorOf(R"({"host_name": 3})").find("host_name"), std::string::npos);
+    auto bad = minimal;
+    bad.replace(bad.find("\"cloud\": \"c:1\", "), 16, "");
+    EXPECT_NE(errorOf(bad).find("outside.cloud"), std::string::npos);
+    bad = minimal;
+    bad.insert(bad.size() - 1, R"(, "deployment": {"workers": {"lease_s": -1}})");
+    EXPECT_NE(errorOf(bad).find("deployment.workers.lease_s"), std::string::npos);
+    EXPECT_FALSE(errorOf("{").empty());
+}
+
+TEST(OperatorSettings, ReadsWhatItKnowsAndRefusesTheRest) {
+    const auto settings = parseOperatorSettings(
+        "[moves]\nlow = 5\nhigh=50\n; note\n"
+        "[machines]\nuse_spot = no\n");
+    EXPECT_EQ(settings.low, 5);
+    EXPECT_EQ(settings.high, 50);
+    EXPECT_FALSE(settings.useSpot);
+    for (const auto* bad : {"[moves]\nlow = many\n", "[moves]\nlow = -1\n", "[other]\nlow = 1\n",
+                            "[moves]\nlow = 30\nhigh = 20\n", "[machines]\nuse_spot = maybe\n"})
+        EXPECT_THROW(parseOperatorSettings(bad), SettingsError) << bad;
+}
+
+}  // namespace
+}  // namespace fawnwheel::app
