--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -91,7 +91,11 @@
                   SteadyTime now) {
     Machine* known = ledger.machine(id);
     if (known != nullptr && known->version >= event.version) return;
-    if (!event.value) return ledger.dropMachine(id);
+    if (!event.value) {
+        // Not yet recorded: its first write is under way.
+        if (known != nullptr && known->version > 0) ledger.dropMachine(id);
+        return;
+    }
     const Json& value = *event.value;
     const bool fresh = known == nullptr;
     if (fresh) known = &ledger.machines[id];
--- a/src/coordination/committer.cpp
+++ b/src/coordination/committer.cpp
@@ -95,7 +95,7 @@
         std::size_t left = 0;
         bool failed = false;
         std::vector<protocol::Item> items;
-        std::set<std::string> missing;
+        std::map<std::string, std::uint64_t> missing;  // as of this revision
     };
     auto gather = std::make_shared<Gather>();
     gather->left = wanted.size();
@@ -105,7 +105,7 @@
             if (answer.result != protocol::StateResult::ok)
                 gather->failed = true;
             else if (answer.items.empty())
-                gather->missing.insert(key);
+                gather->missing[key] = answer.revision;
             else
                 gather->items.push_back(answer.items.front());
             if (--gather->left > 0) return;
@@ -113,7 +113,7 @@
             if (queue == queues_.end() || queue->second.empty() || queue->second.front().id != id)
                 return;
             if (!gather->failed)
-                return finishReadBack(part, std::move(gather->items), std::move(gather->missing));
+                return finishReadBack(part, std::move(gather->items), gather->missing);
             context_.timers.after(context_.jittered(retryPause), [this, part, id] {
                 const auto again = queues_.find(part);
                 if (again != queues_.end() && !again->second.empty() &&
@@ -125,7 +125,7 @@
 }
 
 void Committer::finishReadBack(std::uint32_t part, std::vector<protocol::Item> items,
-                               std::set<std::string> missing) {
+                               const std::map<std::string, std::uint64_t>& missing) {
     const Work& work = queues_[part].front();
     bool landed = true;
     std::uint64_t revision = 0;
@@ -156,7 +156,10 @@
         auto ledger = context_.ledger.lock();
         for (const auto& item : items)
             bookkeeping::applyEvent(*ledger, {item.key, item.value, item.version}, context_.now());
-        // A deletion carries no version here; the follow brings it in order.
+        // The follow passes over keys of ours that are under way, so a deletion has to be taken
+        // in here: a job that had ended was once kept for ever, and failed every later write.
+        for (const auto& [key, asOf] : missing)
+            bookkeeping::applyEvent(*ledger, {key, std::nullopt, asOf}, context_.now());
     }
     settle(part, partLost ? CommitResult::partLost : CommitResult::conflict, 0);
 }
--- a/src/coordination/committer.h
+++ b/src/coordination/committer.h
@@ -40,7 +40,7 @@
     void settle(std::uint32_t part, CommitResult result, std::uint64_t revision);
     void readBack(std::uint32_t part);
     void finishReadBack(std::uint32_t part, std::vector<protocol::Item> items,
-                        std::set<std::string> missing);
+                        const std::map<std::string, std::uint64_t>& missing);
 
     Context& context_;
     std::map<std::uint32_t, std::deque<Work>> queues_;
