Try: keep idle machines for what renting again would cost

Cause looked at: khel's machines were given back between two livescore jobs, each of which then waited for a boot and a fetch.

--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -25,6 +25,7 @@
 constexpr auto bootGrace = 20s;
 constexpr double lateBoot = 2.0;  // no longer counted on
 constexpr auto silentRelease = 15s;
+constexpr Seconds leastCharge{60};
 constexpr int maxRentAtOnce = 10;
 constexpr std::size_t maxReleaseAtOnce = 50;
 constexpr int rentalTries = 3;
@@ -358,6 +359,17 @@
                       });
 }
 
+Duration Fleet::idleLimit(const Machine& machine, const MachineType& type) const {
+    // Renting again costs a boot, the least charge and fetching the images anew. Waiting for work
+    // as long as that costs at most twice what the best choice in hindsight would have.
+    Seconds again(0);
+    if (!machine.images.empty()) {
+        again = type.bootTime + leastCharge;
+        for (const auto& image : machine.images) again += Seconds(image.size / type.fetchRate);
+    }
+    return ticks(std::max(context_.tuning.idleBeforeReturn, again));
+}
+
 void Fleet::review(std::uint32_t part) {
     if (!membership_.leaseStands()) return;
     const auto now = context_.now();
@@ -383,7 +395,7 @@
             // Many at once are behind a cut rather than dead.
             if (silent * 2 <= live || silent == 1) retire(machine, "silent");
         } else if (machine.claims.empty() && !machine.noticeEnds &&
-                   now - machine.idleSince > ticks(context_.tuning.idleBeforeReturn)) {
+                   now - machine.idleSince > idleLimit(machine, *type)) {
             retire(machine, "idle");
         }
     }
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -51,6 +51,7 @@
     void noteRefusal(const Kind& kind);
     void retire(Machine& machine, const char* why);
     void release();
+    [[nodiscard]] Duration idleLimit(const Machine& machine, const MachineType& type) const;
     void forgetMachine(std::uint32_t part, const std::string& id);
     [[nodiscard]] std::optional<Kind> cheapest(const Job& job, std::uint32_t tasks) const;
 
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -223,6 +223,9 @@
             claim.made = context_.now();
             ++zoneUse[machine->zone];
             left -= job.spec.each;
+            spdlog::debug("task {}/{}: to {} ({}), class {}, {:.1f} s after submission",
+                          job.spec.id, task, machine->id, machine->type, job.spec.jobClass,
+                          Seconds(context_.timers.wallNow() - job.submitted).count());
             ledger.addClaim(job, slice, std::move(claim));
             ++placed;
         }
@@ -269,6 +272,9 @@
         }
         if (placed == job.spec.tasks) {
             left -= all;
+            spdlog::debug("gang {}: placed, first on {}, class {}, {:.1f} s after submission",
+                          job.spec.id, job.slices.front().claims.front().machine, job.spec.jobClass,
+                          Seconds(context_.timers.wallNow() - job.submitted).count());
             return true;
         }
         for (auto& slice : job.slices) {
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -178,7 +178,11 @@
     if (task.state == TaskState::exited)
         return takeExit(ledger, machine, *job, *slice, *claim, task);
     if (task.state != TaskState::fetching) noteImage(machine, *job);
-    if (task.state == TaskState::running && !claim->ran) claim->ran = context_.now();
+    if (task.state == TaskState::running && !claim->ran) {
+        claim->ran = context_.now();
+        spdlog::debug("task {}/{}: runs on {}, {:.1f} s after its placement", task.job, task.index,
+                      machine.id, Seconds(*claim->ran - claim->made).count());
+    }
     if (job->cancelled || machine.retired)
         commands.push_back({CommandKind::stop, task.job, task.index, task.attempt, {}});
     else if (claim->stopGrace && task.state != TaskState::saving)
