Order the ready queue by the next aim that can still be met

Cause: with a backlog, jobs that had missed every aim stood before those that could still meet theirs.

--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -15,8 +15,10 @@
 constexpr double silentReports = 2.5;  // no new work after so many missed reports
 constexpr double unlimited = 1e12;
 constexpr std::uint32_t placementsPerRun = 64;
-constexpr double sharedFetch = 0.4;        // of a fetch that another task has begun
-constexpr double idleGpuSeconds = 25;      // what using up a GPU machine's CPUs counts as
+constexpr double sharedFetch = 0.4;    // of a fetch that another task has begun
+constexpr double idleGpuSeconds = 25;  // what using up a GPU machine's CPUs counts as
+// What has no aim (left) is served as if it had to start this long after its submission.
+constexpr Seconds patience{600};
 constexpr double emptyMachineSeconds = 4;  // what breaking into an empty machine counts as
 
 transport::WallTime plus(transport::WallTime at, Seconds by) {
@@ -55,20 +57,22 @@
 }
 
 transport::WallTime Placement::latestStart(const Job& job) const {
-    auto latest = transport::WallTime::max();
+    // The next of the job's aims that can still be met. What has missed all of them goes behind,
+    // since hurrying it helps nobody, but it grows old and is not passed over for ever.
+    const auto now = context_.timers.wallNow();
+    std::optional<transport::WallTime> next;
+    const auto consider = [&](Seconds afterSubmission) {
+        const auto latest = plus(job.submitted, afterSubmission);
+        if (latest > now && (!next || latest < *next)) next = latest;
+    };
     for (const auto& objective : context_.settings.objectives) {
         if (objective.jobClass != job.spec.jobClass) continue;
-        if (objective.kind == app::ObjectiveKind::wait)
-            latest = std::min(latest, plus(job.submitted, objective.within));
+        if (objective.kind == app::ObjectiveKind::wait) consider(objective.within);
         if (objective.kind == app::ObjectiveKind::finished)
-            latest = std::min(latest, plus(job.submitted, objective.within - job.spec.estimate));
+            consider(objective.within - job.spec.estimate);
     }
-    if (job.spec.deadline)
-        latest = std::min(latest, plus(job.submitted, *job.spec.deadline - job.spec.estimate));
-    // Nothing expected: arrival order, behind what has an aim but not for ever.
-    if (latest == transport::WallTime::max())
-        latest = plus(job.submitted, std::chrono::minutes(10));
-    return latest;
+    if (job.spec.deadline) consider(*job.spec.deadline - job.spec.estimate);
+    return next ? *next : plus(job.submitted, patience);
 }
 
 std::uint64_t Placement::nextAttempt(std::uint32_t part) {
