--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -82,7 +82,7 @@
     double probability = 0.1;
     double weight = 0.2;
     // [machines]
-    Seconds idleBeforeReturn{45};
+    Seconds idleBeforeReturn{20};
     bool useSpot = true;
     // [leadership]
     Seconds nodeLease{4};
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -16,6 +16,7 @@
 constexpr auto catalogPeriod = 60s;
 constexpr auto catalogRetry = 1s;
 constexpr auto listPeriod = 4s;
+constexpr double listShareOfCalls = 0.2;
 constexpr auto firstRefusalPause = 8s;
 constexpr auto longestRefusalPause = 40s;
 constexpr double lagMargin = 2.2;  // a list may lag by up to twice the stated time
@@ -26,6 +27,7 @@
 constexpr double lateBoot = 2.0;  // no longer counted on
 constexpr auto silentRelease = 15s;
 constexpr Seconds leastCharge{60};
+constexpr auto classMemory = 5min;
 constexpr int maxRentAtOnce = 10;
 constexpr std::size_t maxReleaseAtOnce = 50;
 constexpr int rentalTries = 3;
@@ -67,7 +69,11 @@
                 return listPage(sofar.back().id, asked, std::move(sofar));
             takeInList(asked, sofar);
         }
-        context_.timers.after(context_.jittered(listPeriod), [this] { listMachines(); });
+        const auto share =
+            context_.settings.cloudCalls / static_cast<double>(context_.nodes.size());
+        const auto pause =
+            std::max<Duration>(listPeriod, ticks(Seconds(1.0 / (share * listShareOfCalls))));
+        context_.timers.after(context_.jittered(pause), [this] { listMachines(); });
     });
 }
 
@@ -359,14 +365,44 @@
                       });
 }
 
+void Fleet::noteClass(const protocol::JobSpec& spec) {
+    // A class whose aims leave no time to boot a machine and fetch the image needs machines that
+    // stand ready between its jobs.
+    auto& needs = standing_[spec.jobClass];
+    needs.lastSeen = context_.now();
+    needs.types.clear();
+    std::optional<Seconds> slack;
+    const auto consider = [&slack](Seconds s) { slack = slack ? std::min(*slack, s) : s; };
+    for (const auto& objective : context_.settings.objectives) {
+        if (objective.jobClass != spec.jobClass) continue;
+        if (objective.kind == app::ObjectiveKind::wait) consider(objective.within);
+        if (objective.kind == app::ObjectiveKind::finished)
+            consider(objective.within - spec.estimate);
+    }
+    if (spec.deadline) consider(*spec.deadline - spec.estimate);
+    if (!slack) return;
+    bool inTime = false;
+    for (const auto& type : context_.catalog) {
+        if (!Placement::typeAllowed(spec, type, spec.zone.value_or(""), false)) continue;
+        needs.types.insert(type.name);
+        inTime = inTime || type.bootTime + Seconds(spec.imageSize / type.fetchRate) < *slack;
+    }
+    if (inTime) needs.types.clear();
+}
+
 Duration Fleet::idleLimit(const Machine& machine, const MachineType& type) const {
+    const auto now = context_.now();
+    const bool standsReady =
+        !machine.images.empty() &&
+        std::any_of(standing_.begin(), standing_.end(), [&](const auto& entry) {
+            return entry.second.types.contains(machine.type) &&
+                   now - entry.second.lastSeen < classMemory;
+        });
+    if (!standsReady) return ticks(context_.tuning.idleBeforeReturn);
     // Renting again costs a boot, the least charge and fetching the images anew. Waiting for work
     // as long as that costs at most twice what the best choice in hindsight would have.
-    Seconds again(0);
-    if (!machine.images.empty()) {
-        again = type.bootTime + leastCharge;
-        for (const auto& image : machine.images) again += Seconds(image.size / type.fetchRate);
-    }
+    Seconds again = type.bootTime + leastCharge;
+    for (const auto& image : machine.images) again += Seconds(image.size / type.fetchRate);
     return ticks(std::max(context_.tuning.idleBeforeReturn, again));
 }
 
@@ -374,6 +410,7 @@
     if (!membership_.leaseStands()) return;
     const auto now = context_.now();
     auto ledger = context_.ledger.lock();
+    for (const auto& [id, job] : ledger->jobs) noteClass(job.spec);
     std::size_t live = 0;
     std::size_t silent = 0;
     for (const auto& [id, machine] : ledger->machines) {
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -21,6 +21,7 @@
     // A worker reports that nobody has assigned yet.
     void assignReported(const protocol::WorkerReport& report);
     void rentFor(std::uint32_t part, const std::vector<Unplaced>& unplaced);
+    void noteClass(const protocol::JobSpec& spec);
     // Idle, never-booting, faulty and silent machines.
     void review(std::uint32_t part);
 
@@ -64,6 +65,11 @@
         SteadyTime until{};
         Duration pause{};
     };
+    struct Standing {
+        std::set<std::string> types;  // worth keeping ready
+        SteadyTime lastSeen{};
+    };
+    std::map<std::string, Standing> standing_;            // by class
     std::map<Kind, Refusal> refused_;                     // no capacity: not before
     std::map<std::uint32_t, std::map<Kind, int>> asked_;  // rentals under way
     std::map<std::string, Found> unassigned_;
--- a/src/protocol/cloud_client.cpp
+++ b/src/protocol/cloud_client.cpp
@@ -12,6 +12,7 @@
 
 constexpr auto callTimeout = 5s;
 constexpr auto pumpPeriod = 50ms;
+constexpr double burstSeconds = 2;  // what the cloud allows
 constexpr int listPage = 500;
 
 std::optional<Json> okBody(const std::optional<transport::HttpResponse>& response) {
@@ -27,7 +28,7 @@
       network_(network),
       address_(std::move(address)),
       rate_(callsPerSecond),
-      tokens_(1),
+      tokens_(std::max(1.0, burstSeconds * callsPerSecond)),
       filled_(timers.now()) {}
 
 void CloudClient::enqueue(transport::HttpRequest request, transport::HttpDone done) {
@@ -38,7 +39,8 @@
 void CloudClient::pump() {
     pumping_ = true;
     const auto now = timers_.now();
-    tokens_ = std::min(tokens_ + Seconds(now - filled_).count() * rate_, std::max(1.0, rate_));
+    tokens_ = std::min(tokens_ + Seconds(now - filled_).count() * rate_,
+                       std::max(1.0, burstSeconds * rate_));
     filled_ = now;
     while (!queue_.empty() && tokens_ >= 1) {
         tokens_ -= 1;
