One rental call at a time for a kind; refusals are told to the peers

Cause: parts queued call upon call for kinds already refused, and each node probed all kinds by itself, so that the first machines came late.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -51,6 +51,7 @@
         fleet_.assignReported(report);
     };
     reports_.onChange = [this] { soon(); };
+    fleet_.onAnswer = [this] { soon(); };
     intake_.synced = [this] { return mirror_.synced(); };
     intake_.onAccepted = [this] { soon(); };
     intake_.onCancelled = [this](const std::string&) { noteCancellations(); };
@@ -147,6 +148,8 @@
                 moves_.onAsk(peer, message);
             else if constexpr (std::is_same_v<Message, protocol::MoveAnswer>)
                 moves_.onAnswer(message);
+            else if constexpr (std::is_same_v<Message, protocol::NoCapacity>)
+                fleet_.onNoCapacity(message);
         },
         envelope->message);
 }
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -228,7 +228,8 @@
 }
 
 void Fleet::rentFor(std::uint32_t part, const std::vector<Unplaced>& unplaced) {
-    if (unplaced.empty() || !membership_.leaseStands()) return;
+    // Calls are few: none is queued behind others, and each rests on the answers before it.
+    if (unplaced.empty() || !membership_.leaseStands() || context_.cloud.waiting() > 0) return;
     const auto now = context_.now();
     struct Coming {
         Kind kind;
@@ -262,7 +263,8 @@
                 continue;
             }
             const auto kind = cheapest(*job, left);
-            if (!kind || wanted[*kind] >= maxRentAtOnce) break;
+            // The answer to the last call tells whether there are more of this kind.
+            if (!kind || asking(*kind) || wanted[*kind] >= maxRentAtOnce) break;
             ++wanted[*kind];
             coming.push_back({*kind, context_.type(kind->type)->capacity});
             coming.back().room -= job->spec.each;
@@ -290,6 +292,7 @@
                             if (result == protocol::RentResult::unknown && tries > 1)
                                 return sendRental(part, kind, count, name, tries - 1);
                             asked_[part][kind] -= count;
+                            onAnswer();
                             for (const auto& id : machines)
                                 assign(id, kind.type, kind.zone, kind.spot, part);
                             if (static_cast<int>(machines.size()) < count)
@@ -303,6 +306,28 @@
     auto& refusal = refused_[kind];
     refusal.pause = std::clamp<Duration>(refusal.pause * 2, firstRefusalPause, longestRefusalPause);
     refusal.until = context_.now() + context_.jittered(refusal.pause);
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(refusal.pause);
+    const protocol::NoCapacity message{kind.type, kind.zone, kind.spot,
+                                       static_cast<std::uint64_t>(millis.count())};
+    for (const auto& peer : context_.settings.peers)
+        context_.network.sendFrame(peer.name,
+                                   protocol::encodePeer({context_.settings.name, message}));
+}
+
+void Fleet::onNoCapacity(const protocol::NoCapacity& message) {
+    const auto pause = std::min<Duration>(
+        std::chrono::milliseconds(std::min<std::uint64_t>(message.pauseMillis, 1'000'000)),
+        longestRefusalPause);
+    auto& refusal = refused_[{message.type, message.zone, message.spot}];
+    refusal.pause = std::max(refusal.pause, pause);
+    refusal.until = std::max(refusal.until, context_.now() + pause);
+}
+
+bool Fleet::asking(const Kind& kind) const {
+    return std::any_of(asked_.begin(), asked_.end(), [&](const auto& entry) {
+        const auto found = entry.second.find(kind);
+        return found != entry.second.end() && found->second > 0;
+    });
 }
 
 void Fleet::retire(Machine& machine, const char* why) {
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -20,7 +20,9 @@
     void start();
     // A worker reports that nobody has assigned yet.
     void assignReported(const protocol::WorkerReport& report);
+    std::function<void()> onAnswer = [] {};
     void rentFor(std::uint32_t part, const std::vector<Unplaced>& unplaced);
+    void onNoCapacity(const protocol::NoCapacity& message);
     void noteClass(const protocol::JobSpec& spec);
     // Idle, never-booting, faulty and silent machines.
     void review(std::uint32_t part);
@@ -50,6 +52,7 @@
     void sendRental(std::uint32_t part, const Kind& kind, int count, const std::string& name,
                     int tries);
     void noteRefusal(const Kind& kind);
+    [[nodiscard]] bool asking(const Kind& kind) const;
     void retire(Machine& machine, const char* why);
     void release();
     [[nodiscard]] Duration idleLimit(const Machine& machine, const MachineType& type) const;
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -61,6 +61,13 @@
     visit(m.milliGpus);
 }
 template <typename Visit>
+void fields(NoCapacity& m, Visit visit) {
+    visit(m.type);
+    visit(m.zone);
+    visit(m.spot);
+    visit(m.pauseMillis);
+}
+template <typename Visit>
 void fields(RelayedReport& m, Visit visit) {
     visit(m.relay);
     visit(m.body);
--- a/src/protocol/peer_codec.h
+++ b/src/protocol/peer_codec.h
@@ -77,6 +77,14 @@
     std::uint64_t milliGpus = 0;
 };
 
+// "The cloud has no more machines of this kind": spares the peers the same call.
+struct NoCapacity {
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    std::uint64_t pauseMillis = 0;
+};
+
 // A worker's report, passed on to the machine's owner by a node that the worker can reach.
 struct RelayedReport {
     std::uint64_t relay = 0;
@@ -89,8 +97,8 @@
     std::string body;
 };
 
-using PeerMessage =
-    std::variant<Status, MoveAsk, MoveAnswer, LendAsk, QuotaAsk, RelayedReport, RelayedAnswer>;
+using PeerMessage = std::variant<Status, MoveAsk, MoveAnswer, LendAsk, QuotaAsk, NoCapacity,
+                                 RelayedReport, RelayedAnswer>;
 
 struct PeerEnvelope {
     std::string sender;
