Work whose aim is at risk moves at once; peers weigh the queue for the machines it could use

Cause: one waiting livescore never lifted the average above low, and a peer with an idle fitting machine refused it for its queue of other work; machines never used yet were given back although their class can't wait for a boot.

--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -418,7 +418,6 @@
 Duration Fleet::idleLimit(const Machine& machine, const MachineType& type) const {
     const auto now = context_.now();
     const bool standsReady =
-        !machine.images.empty() &&
         std::any_of(standing_.begin(), standing_.end(), [&](const auto& entry) {
             return entry.second.types.contains(machine.type) &&
                    now - entry.second.lastSeen < classMemory;
--- a/src/coordination/moves.cpp
+++ b/src/coordination/moves.cpp
@@ -89,19 +89,22 @@
     }
     for (const auto& id : waiting) {
         bool stranded = false;
+        bool atRisk = false;
         double free = 0;
         {
             auto ledger = context_.ledger.lock();
             const Job* job = ledger->job(id);
             if (job == nullptr) continue;
-            // Work that no machine here could ever run counts as above high.
+            // Work that no machine here could ever run counts as above high, and so does what
+            // will miss its aim unless it starts about now: the average lags behind it.
             stranded = !placement_.everFits(*job, part);
             free = freedom(*job, part);
+            atRisk = placement_.atRisk(*job);
         }
         queue.considered();
         const double chance = queue.moveProbability(free, tuning);
-        if (stranded || std::uniform_real_distribution<>(0, 1)(context_.rng) < chance)
-            consider(part, id, stranded || queue.aboveHigh(tuning));
+        if (stranded || atRisk || std::uniform_real_distribution<>(0, 1)(context_.rng) < chance)
+            consider(part, id, stranded || atRisk || queue.aboveHigh(tuning));
     }
 }
 
@@ -198,10 +201,11 @@
         const Job* job = ledger->job(ask.job);
         if (job != nullptr && membership_.active(ask.part) && membership_.leaseStands()) {
             // Accept only while the queue stays below low: what has room now does not queue.
-            const auto room = placement_.roomFor(*job, ask.part, ask.tasks + promised(ask.part));
-            const double queue = placement_.queueLength(ask.part) + promised(ask.part) +
-                                 static_cast<double>(ask.tasks) - room;
-            answer.accepted = room > 0 && queue < tuningFor(ask.part).low;
+            // The queue that counts is the one for the machines this work could use: what waits
+            // here although they have room waits for others.
+            const auto coming = ask.tasks + promised(ask.part);
+            const auto room = placement_.roomFor(*job, ask.part, coming);
+            answer.accepted = room > promised(ask.part) && coming - room < tuningFor(ask.part).low;
         }
         if (answer.accepted)
             promises_.push_back({ask.part, ask.tasks, context_.now() + promiseLasts});
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -19,6 +19,7 @@
 constexpr double idleGpuSeconds = 25;  // what using up a GPU machine's CPUs counts as
 // What has no aim (left) is served as if it had to start this long after its submission.
 constexpr Seconds patience{600};
+constexpr Seconds riskMargin{10};
 constexpr double emptyMachineSeconds = 4;  // what breaking into an empty machine counts as
 
 transport::WallTime plus(transport::WallTime at, Seconds by) {
@@ -75,6 +76,15 @@
     return next ? *next : plus(job.submitted, patience);
 }
 
+bool Placement::atRisk(const Job& job) const {
+    double fetch = 0;
+    for (const auto& type : context_.catalog)
+        if (typeAllowed(job.spec, type, job.spec.zone.value_or(""), false))
+            fetch = std::max(fetch, job.spec.imageSize / type.fetchRate);
+    const Seconds needed = Seconds(fetch) + context_.settings.report * 2 + riskMargin;
+    return latestStart(job) < plus(context_.timers.wallNow(), needed);
+}
+
 std::uint64_t Placement::nextAttempt(std::uint32_t part) {
     // Terms grow over all owners, so attempts do too, without a record of their own.
     return (membership_.term(part) << taskBits) | (++sequence_ & ((1U << taskBits) - 1));
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -32,6 +32,8 @@
     [[nodiscard]] bool takesWork(const Machine& machine) const;
     // When a job should have started at the latest to meet what is expected of it.
     [[nodiscard]] transport::WallTime latestStart(const Job& job) const;
+    // Whether it will miss its next aim unless it gets a place about now.
+    [[nodiscard]] bool atRisk(const Job& job) const;
 
     static constexpr std::uint32_t taskBits = 24;
 
