Preempt lower priorities for work whose aim is at risk, and keep the room for it

Cause: livescore needs 30 CPUs at once; what lineup-hints freed five at a time went to the next of them.

--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -111,6 +111,8 @@
     std::optional<SteadyTime> noticeEnds;  // the cloud takes it then
     std::optional<SteadyTime> listed;      // seen in a list, at its receipt
     bool failedInList = false;
+    std::string reservedFor;  // job that others were stopped for
+    SteadyTime reservedUntil{};
     int errors = 0;                  // in a row
     std::deque<CachedImage> images;  // most recently used first
     std::vector<TaskRef> claims;
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -76,7 +76,12 @@
 
 void Controller::work() {
     for (const auto part : membership_.activeParts()) {
-        if (membership_.leaseStands()) fleet_.rentFor(part, placement_.run(part));
+        if (membership_.leaseStands()) {
+            const auto unplaced = placement_.run(part);
+            for (const auto& machine : placement_.preemptFor(part, unplaced))
+                reports_.stopMarked(machine);
+            fleet_.rentFor(part, unplaced);
+        }
         recorder_.flush(part);
     }
 }
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -20,6 +20,9 @@
 // What has no aim (left) is served as if it had to start this long after its submission.
 constexpr Seconds patience{600};
 constexpr Seconds riskMargin{10};
+constexpr auto reservation = std::chrono::seconds(20);  // to save, report and be placed
+constexpr double fetchWorth = 5;
+constexpr std::uint32_t mostPreempted = 4;
 constexpr double emptyMachineSeconds = 4;  // what breaking into an empty machine counts as
 
 transport::WallTime plus(transport::WallTime at, Seconds by) {
@@ -151,6 +154,7 @@
     const auto* type = context_.type(machine.type);
     if (type == nullptr || !typeAllowed(job.spec, *type, machine.zone, machine.spot)) return false;
     if (job.failedOn.contains(machine.id)) return false;
+    if (context_.now() < machine.reservedUntil && machine.reservedFor != job.spec.id) return false;
     if (job.spec.oneZone)
         for (const auto& [zone, count] : zoneUse)
             if (count > 0 && zone != machine.zone) return false;
@@ -319,6 +323,94 @@
     return unplaced;
 }
 
+bool Placement::makeRoom(Ledger& ledger, std::uint32_t part, const Job& job,
+                         std::set<std::string>& machines) {
+    struct Victim {
+        Claim* claim = nullptr;
+        const Job* job = nullptr;
+        double loss = 0;
+    };
+    const auto now = context_.now();
+    const auto use = zoneUseOf(ledger, job);
+    Machine* best = nullptr;
+    std::vector<Victim> bestVictims;
+    double bestLoss = std::numeric_limits<double>::max();
+    for (auto& [id, machine] : ledger.machines) {
+        const auto* type = context_.type(machine.type);
+        if (machine.part != part || !takesWork(machine) || type == nullptr ||
+            now < machine.reservedUntil)
+            continue;
+        // What would be allowed on it, were it empty.
+        Machine empty = machine;
+        empty.used = {};
+        if (!allowed(job, empty, use)) continue;
+        std::vector<Victim> candidates;
+        Resources room = type->capacity;
+        room -= machine.used;
+        for (const auto& ref : machine.claims) {
+            Job* other = ledger.job(ref.job);
+            Slice* slice = other == nullptr ? nullptr : other->sliceOf(ref.task);
+            Claim* claim = slice == nullptr ? nullptr : slice->claimOf(ref.task);
+            if (claim == nullptr || !claim->durable) continue;
+            if (claim->stopGrace) {
+                room += other->spec.each;  // on its way out already
+                continue;
+            }
+            // Strictly lower priority only; a gang would lose all its tasks for one.
+            if (other->spec.priority <= job.spec.priority || other->spec.kind == JobKind::gang)
+                continue;
+            const bool saves = other->spec.checkpoint.count() > 0;
+            const double ran = claim->ran ? Seconds(now - *claim->ran).count() : 0;
+            candidates.push_back(
+                {claim, other,
+                 other->spec.save.count() + (saves ? 0 : ran) + (claim->ran ? 0 : fetchWorth)});
+        }
+        std::sort(candidates.begin(), candidates.end(),
+                  [](const Victim& a, const Victim& b) { return a.loss < b.loss; });
+        std::vector<Victim> victims;
+        double loss = 0;
+        for (const auto& candidate : candidates) {
+            if (job.spec.each.fits(room)) break;
+            room += candidate.job->spec.each;
+            victims.push_back(candidate);
+            loss += candidate.loss;
+        }
+        if (!job.spec.each.fits(room) || loss >= bestLoss) continue;
+        best = &machine;
+        bestVictims = std::move(victims);
+        bestLoss = loss;
+    }
+    if (best == nullptr) return false;
+    for (const auto& victim : bestVictims) {
+        if (!victim.claim->seen) victim.claim->giveUp = true;
+        victim.claim->stopGrace = victim.job->spec.save;
+        spdlog::debug("task {}/{}: stopped on {} for job {}", victim.job->spec.id,
+                      victim.claim->task, best->id, job.spec.id);
+    }
+    best->reservedFor = job.spec.id;
+    best->reservedUntil = now + reservation;
+    machines.insert(best->id);
+    return true;
+}
+
+std::set<std::string> Placement::preemptFor(std::uint32_t part,
+                                            const std::vector<Unplaced>& unplaced) {
+    std::set<std::string> machines;
+    auto ledger = context_.ledger.lock();
+    for (const auto& entry : unplaced) {
+        const Job* job = ledger->job(entry.job);
+        if (job == nullptr || entry.overShare || !atRisk(*job)) continue;
+        const bool reserved =
+            std::any_of(ledger->machines.begin(), ledger->machines.end(), [&](const auto& m) {
+                return m.second.reservedFor == entry.job && context_.now() < m.second.reservedUntil;
+            });
+        if (reserved) continue;
+        for (std::uint32_t i = 0; i < std::min(entry.tasks, mostPreempted); ++i)
+            if (!makeRoom(*ledger, part, *job, machines)) break;
+    }
+    return machines;
+}
+
 std::uint32_t Placement::roomFor(const Job& job, std::uint32_t part, std::uint32_t most) {
     auto ledger = context_.ledger.lock();
     std::uint32_t room = 0;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -20,6 +20,9 @@
     // Claims machines for what can start; the claims become durable before anything is sent.
     std::vector<Unplaced> run(std::uint32_t part);
 
+    // Stops work of lower priority for a job that would miss its aim; the machines concerned.
+    std::set<std::string> preemptFor(std::uint32_t part, const std::vector<Unplaced>& unplaced);
+
     // Ready tasks of the part: to start, without a place (the paper's readyQ).
     [[nodiscard]] std::uint32_t queueLength(std::uint32_t part);
     // How many more tasks like the job's the part's machines could start right now.
@@ -49,6 +52,8 @@
                              bool& overShare);
     bool placeGang(Ledger& ledger, std::uint32_t part, Job& job, Resources& left, bool& overShare);
     void stopBrokenGang(Job& job);
+    bool makeRoom(Ledger& ledger, std::uint32_t part, const Job& job,
+                  std::set<std::string>& machines);
     Machine* choose(Ledger& ledger, std::uint32_t part, const Job& job,
                     const std::map<std::string, std::uint32_t>& zoneUse);
     [[nodiscard]] bool allowed(const Job& job, const Machine& machine,
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -305,16 +305,35 @@
                      claim.stopGrace && !job->cancelled ? *claim.stopGrace : Seconds(0)});
     }
     for (const auto& [name, commands] : orders) {
-        const Machine* machine = ledger->machine(name);
-        if (machine == nullptr || machine->address.empty() || !machine->heard) continue;
-        auto body = protocol::encodeCommands(membership_.term(machine->part), commands);
-        body[protocol::wire::session] = machine->session;
-        context_.network.call(machine->address,
-                              {"POST", protocol::wire::pathOrders, protocol::encodeCbor(body)},
-                              orderTimeout, [](const std::optional<transport::HttpResponse>&) {});
+        if (const Machine* machine = ledger->machine(name)) order(*machine, commands);
     }
 }
 
+void Reports::stopMarked(const std::string& name) {
+    auto ledger = context_.ledger.lock();
+    const Machine* machine = ledger->machine(name);
+    if (machine == nullptr || !membership_.active(machine->part)) return;
+    std::vector<Command> commands;
+    for (const auto& ref : machine->claims) {
+        Job* job = ledger->job(ref.job);
+        Slice* slice = job == nullptr ? nullptr : job->sliceOf(ref.task);
+        const Claim* claim = slice == nullptr ? nullptr : slice->claimOf(ref.task);
+        if (claim != nullptr && claim->stopGrace && claim->state != TaskState::saving)
+            commands.push_back(
+                {CommandKind::stop, ref.job, ref.task, ref.attempt, *claim->stopGrace});
+    }
+    if (!commands.empty()) order(*machine, commands);
+}
+
+void Reports::order(const Machine& machine, const std::vector<Command>& commands) {
+    if (machine.address.empty() || !machine.heard) return;
+    auto body = protocol::encodeCommands(membership_.term(machine.part), commands);
+    body[protocol::wire::session] = machine.session;
+    context_.network.call(machine.address,
+                          {"POST", protocol::wire::pathOrders, protocol::encodeCbor(body)},
+                          orderTimeout, [](const std::optional<transport::HttpResponse>&) {});
+}
+
 void Reports::releaseClaims(Machine& machine, const char* why) {
     auto ledger = context_.ledger.lock();
     const auto claims = machine.claims;
--- a/src/coordination/reports.h
+++ b/src/coordination/reports.h
@@ -21,6 +21,7 @@
     void onPartActive(std::uint32_t part);
     // Sends stops straight to the machines of this job; the reports repeat them.
     void stopNow(const std::string& job);
+    void stopMarked(const std::string& machine);
     // All that was on the machine is surely gone.
     void releaseClaims(Machine& machine, const char* why);
     // Machines silent for so long that their leases have surely run out.
@@ -39,6 +40,7 @@
     void takeExit(Ledger& ledger, Machine& machine, Job& job, Slice& slice, Claim& claim,
                   const protocol::TaskReport& task);
     void noteImage(Machine& machine, const Job& job);
+    void order(const Machine& machine, const std::vector<protocol::Command>& commands);
     void addStarts(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report,
                    std::vector<protocol::Command>& commands);
     [[nodiscard]] static bool startable(const Job& job, const Claim& claim);
