--- a/src/coordination/context.h
+++ b/src/coordination/context.h
@@ -1,8 +1,6 @@
 // What the parts of the coordination share.
 #pragma once
 
-#include <algorithm>
-#include <map>
 #include <random>
 
 #include "app/settings.h"
@@ -63,19 +61,6 @@
         return ticks(Seconds(around) * std::uniform_real_distribution<>(0.75, 1.25)(rng));
     }
 
-    // Owners' estimates are often wrong, on some days all in one direction: corrected by what
-    // tasks of the class have taken.
-    [[nodiscard]] Seconds expectedRun(const protocol::JobSpec& spec) const {
-        const auto found = runFactors.find(spec.jobClass);
-        return spec.estimate * (found == runFactors.end() ? 1.0 : found->second);
-    }
-    void noteRun(const protocol::JobSpec& spec, Seconds took) {
-        if (spec.estimate.count() <= 0) return;
-        const double ratio = std::clamp(took / spec.estimate, 0.2, 5.0);
-        auto& factor = runFactors.try_emplace(spec.jobClass, 1.0).first->second;
-        factor += (ratio - factor) * runFactorWeight;
-    }
-
     const app::Settings& settings;
     const app::OperatorSettings& tuning;
     transport::Timers& timers;
@@ -87,11 +72,9 @@
     bookkeeping::Guarded<Ledger> ledger;
     std::vector<MachineType> catalog;
     std::mt19937_64 rng;
-    std::map<std::string, double> runFactors;  // by class
 
   private:
     static constexpr double shareOfLimits = 0.92;
-    static constexpr double runFactorWeight = 0.1;
 
     [[nodiscard]] protocol::StateLimits stateShare() const {
         const auto count = static_cast<double>(nodes.size());
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -28,10 +28,6 @@
 constexpr auto silentRelease = 15s;
 constexpr Seconds leastCharge{60};
 constexpr auto classMemory = 5min;
-constexpr double runMargin = 1.2;
-constexpr Seconds leastLeft{3};
-constexpr Seconds rentMargin{10};
-constexpr std::uint32_t mostLooked = 120;
 constexpr int maxRentAtOnce = 10;
 constexpr std::size_t maxReleaseAtOnce = 50;
 constexpr int rentalTries = 3;
@@ -231,111 +227,47 @@
     return best;
 }
 
-std::vector<Fleet::Outlook> Fleet::outlookOf(std::uint32_t part) {
-    std::vector<Outlook> outlooks;
+void Fleet::rentFor(std::uint32_t part, const std::vector<Unplaced>& unplaced) {
+    // Calls are few: none is queued behind others, and each rests on the answers before it.
+    if (unplaced.empty() || !membership_.leaseStands() || context_.cloud.waiting() > 0) return;
     const auto now = context_.now();
+    struct Coming {
+        Kind kind;
+        Resources room;
+    };
+    std::vector<Coming> coming;
+    std::map<Kind, int> wanted;
     auto ledger = context_.ledger.lock();
     for (const auto& [id, machine] : ledger->machines) {
         const auto* type = context_.type(machine.type);
-        if (machine.part != part || machine.retired || machine.noticeEnds || type == nullptr)
-            continue;
-        Outlook outlook;
-        outlook.kind = {machine.type, machine.zone, machine.spot};
-        outlook.room = type->capacity;
-        if (!machine.heard) {
-            const auto booted = machine.known + ticks(type->bootTime);
-            if (now > machine.known + ticks(type->bootTime * lateBoot) + bootGrace) continue;
-            outlook.from = std::max(Seconds(1), Seconds(booted - now));
-        } else if (!placement_.takesWork(machine)) {
+        if (machine.part != part || machine.retired || machine.heard || type == nullptr ||
+            now - machine.known > ticks(type->bootTime * lateBoot) + bootGrace)
             continue;
-        }
-        for (const auto& ref : machine.claims) {
-            Job* job = ledger->job(ref.job);
-            Slice* slice = job == nullptr ? nullptr : job->sliceOf(ref.task);
-            const Claim* claim = slice == nullptr ? nullptr : slice->claimOf(ref.task);
-            if (claim == nullptr) continue;
-            auto left = context_.expectedRun(job->spec) * runMargin;
-            if (claim->ran) left -= Seconds(now - *claim->ran);
-            outlook.room -= job->spec.each;
-            outlook.ends.emplace_back(std::max(left, leastLeft), job->spec.each);
-        }
-        std::sort(outlook.ends.begin(), outlook.ends.end(),
-                  [](const auto& a, const auto& b) { return a.first < b.first; });
-        outlooks.push_back(std::move(outlook));
+        coming.push_back({{machine.type, machine.zone, machine.spot}, type->capacity});
     }
-    for (const auto& [kind, count] : asked_[part]) {
-        const auto* type = context_.type(kind.type);
-        for (int i = 0; i < count && type != nullptr; ++i)
-            outlooks.push_back({kind, type->bootTime, type->capacity, {}});
-    }
-    return outlooks;
-}
-
-std::optional<Seconds> Fleet::Outlook::startOf(const Resources& need) const {
-    Resources free = room;
-    if (need.fits(free)) return from;
-    for (const auto& [end, freed] : ends) {
-        free += freed;
-        if (need.fits(free)) return std::max(from, end);
-    }
-    return std::nullopt;
-}
-
-void Fleet::Outlook::take(Seconds start, Seconds run, const Resources& need) {
-    // What ends before the start is folded into the room, so that the next fit looks later.
-    std::erase_if(ends, [&](const auto& entry) {
-        if (entry.first > start) return false;
-        room += entry.second;
-        return true;
-    });
-    from = std::max(from, start);
-    room -= need;
-    const auto at = std::find_if(ends.begin(), ends.end(),
-                                 [&](const auto& e) { return e.first > start + run; });
-    ends.insert(at, {start + run, need});
-}
-
-void Fleet::rentFor(std::uint32_t part, const std::vector<Unplaced>& unplaced) {
-    // Calls are few: none is queued behind others, and each rests on the answers before it.
-    if (unplaced.empty() || !membership_.leaseStands() || context_.cloud.waiting() > 0) return;
-    auto outlooks = outlookOf(part);
-    std::map<Kind, int> wanted;
-    std::uint32_t looked = 0;
-    auto ledger = context_.ledger.lock();
+    for (const auto& [kind, count] : asked_[part])
+        for (int i = 0; i < count; ++i)
+            if (const auto* type = context_.type(kind.type))
+                coming.push_back({kind, type->capacity});
     for (const auto& entry : unplaced) {
         const Job* job = ledger->job(entry.job);
         if (job == nullptr || entry.overShare) continue;
-        const auto& spec = job->spec;
-        const auto run = context_.expectedRun(spec) * runMargin;
-        const Seconds latest(placement_.latestStart(*job) - context_.timers.wallNow());
-        for (std::uint32_t left = entry.tasks; left > 0 && looked < mostLooked; --left, ++looked) {
-            Outlook* soonest = nullptr;
-            std::optional<Seconds> start;
-            for (auto& outlook : outlooks) {
-                const auto* type = context_.type(outlook.kind.type);
-                if (!Placement::typeAllowed(spec, *type, outlook.kind.zone, outlook.kind.spot))
-                    continue;
-                const auto fits = outlook.startOf(spec.each);
-                if (fits && (!start || *fits < *start)) {
-                    start = fits;
-                    soonest = &outlook;
-                }
-            }
-            const auto kind = cheapest(*job, left);
-            // Renting pays only for what would else miss its aim and what a new machine can
-            // still serve earlier.
-            const bool enough = start && (!kind || *start + rentMargin <= latest ||
-                                          *start <= context_.type(kind->type)->bootTime);
-            if (enough) {
-                soonest->take(*start, run, spec.each);
+        for (std::uint32_t left = entry.tasks; left > 0; --left) {
+            const auto fits = std::find_if(coming.begin(), coming.end(), [&](const Coming& c) {
+                return Placement::typeAllowed(job->spec, *context_.type(c.kind.type), c.kind.zone,
+                                              c.kind.spot) &&
+                       job->spec.each.fits(c.room);
+            });
+            if (fits != coming.end()) {
+                fits->room -= job->spec.each;
                 continue;
             }
+            const auto kind = cheapest(*job, left);
             // The answer to the last call tells whether there are more of this kind.
             if (!kind || asking(*kind) || wanted[*kind] >= maxRentAtOnce) break;
             ++wanted[*kind];
-            const auto* type = context_.type(kind->type);
-            outlooks.push_back({*kind, type->bootTime, type->capacity, {}});
-            outlooks.back().take(type->bootTime, run, spec.each);
+            coming.push_back({*kind, context_.type(kind->type)->capacity});
+            coming.back().room -= job->spec.each;
         }
     }
     for (const auto& [kind, count] : wanted)
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -34,15 +34,6 @@
         bool spot = false;
         auto operator<=>(const Kind&) const = default;
     };
-    // When a machine that is there or coming will have room.
-    struct Outlook {
-        Kind kind;
-        Seconds from{};  // not before
-        Resources room;
-        std::vector<std::pair<Seconds, Resources>> ends;  // by time
-        [[nodiscard]] std::optional<Seconds> startOf(const Resources& need) const;
-        void take(Seconds start, Seconds run, const Resources& need);
-    };
     struct Found {
         protocol::CloudMachine machine;
         SteadyTime seen{};
@@ -57,7 +48,6 @@
                 std::optional<std::uint32_t> part);
     [[nodiscard]] std::uint32_t partFor(const Ledger& ledger, const std::string& type,
                                         const std::string& zone) const;
-    std::vector<Outlook> outlookOf(std::uint32_t part);
     void rent(std::uint32_t part, const Kind& kind, int count);
     void sendRental(std::uint32_t part, const Kind& kind, int count, const std::string& name,
                     int tries);
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -64,7 +64,6 @@
     // The next of the job's aims that can still be met. What has missed all of them goes behind,
     // since hurrying it helps nobody, but it grows old and is not passed over for ever.
     const auto now = context_.timers.wallNow();
-    const auto run = context_.expectedRun(job.spec);
     std::optional<transport::WallTime> next;
     const auto consider = [&](Seconds afterSubmission) {
         const auto latest = plus(job.submitted, afterSubmission);
@@ -73,9 +72,10 @@
     for (const auto& objective : context_.settings.objectives) {
         if (objective.jobClass != job.spec.jobClass) continue;
         if (objective.kind == app::ObjectiveKind::wait) consider(objective.within);
-        if (objective.kind == app::ObjectiveKind::finished) consider(objective.within - run);
+        if (objective.kind == app::ObjectiveKind::finished)
+            consider(objective.within - job.spec.estimate);
     }
-    if (job.spec.deadline) consider(*job.spec.deadline - run);
+    if (job.spec.deadline) consider(*job.spec.deadline - job.spec.estimate);
     return next ? *next : plus(job.submitted, patience);
 }
 
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -199,7 +199,6 @@
     switch (task.cause) {
         case ExitCause::done:
             machine.errors = 0;
-            if (claim.ran) context_.noteRun(job.spec, now - *claim.ran);
             slice.markDone(task.index);
             // The tasks of a gang complete together.
             if (job.spec.kind == protocol::JobKind::gang)
