--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -111,6 +111,7 @@
     std::optional<SteadyTime> noticeEnds;  // the cloud takes it then
     std::optional<SteadyTime> listed;      // seen in a list, at its receipt
     bool failedInList = false;
+    bool emptying = false;    // its tasks move together with others, then it is given back
     std::string reservedFor;  // job that others were stopped for
     SteadyTime reservedUntil{};
     int errors = 0;                  // in a row
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -100,6 +100,8 @@
     for (const auto part : membership_.activeParts()) {
         if (membership_.leaseStands()) reports_.expireSilent(part);
         fleet_.review(part);
+        if (membership_.leaseStands() && fleet_.mayEmpty(part))
+            if (const auto machine = placement_.emptyOne(part)) reports_.stopMarked(*machine);
     }
     std::erase_if(stopping_, [this](const std::string& id) {
         return context_.ledger.lock()->job(id) == nullptr;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -415,14 +415,23 @@
     if (inTime) needs.types.clear();
 }
 
+bool Fleet::standsReady(const Machine& machine) const {
+    return std::any_of(standing_.begin(), standing_.end(), [&](const auto& entry) {
+        return entry.second.types.contains(machine.type) &&
+               context_.now() - entry.second.lastSeen < classMemory;
+    });
+}
+
+bool Fleet::mayEmpty(std::uint32_t part) {
+    if (placement_.queueLength(part) > 0) return false;
+    auto ledger = context_.ledger.lock();
+    return std::none_of(ledger->machines.begin(), ledger->machines.end(), [&](const auto& m) {
+        return m.second.part == part && standsReady(m.second);
+    });
+}
+
 Duration Fleet::idleLimit(const Machine& machine, const MachineType& type) const {
-    const auto now = context_.now();
-    const bool standsReady =
-        std::any_of(standing_.begin(), standing_.end(), [&](const auto& entry) {
-            return entry.second.types.contains(machine.type) &&
-                   now - entry.second.lastSeen < classMemory;
-        });
-    if (!standsReady) return ticks(context_.tuning.idleBeforeReturn);
+    if (!standsReady(machine)) return ticks(context_.tuning.idleBeforeReturn);
     // Renting again costs a boot, the least charge and fetching the images anew. Waiting for work
     // as long as that costs at most twice what the best choice in hindsight would have.
     Seconds again = type.bootTime + leastCharge;
@@ -455,6 +464,8 @@
         } else if (now - *machine.heard > silentRelease) {
             // Many at once are behind a cut rather than dead.
             if (silent * 2 <= live || silent == 1) retire(machine, "silent");
+        } else if (machine.emptying && machine.claims.empty()) {
+            retire(machine, "emptied");
         } else if (machine.claims.empty() && !machine.noticeEnds &&
                    now - machine.idleSince > idleLimit(machine, *type)) {
             retire(machine, "idle");
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -24,6 +24,9 @@
     void rentFor(std::uint32_t part, const std::vector<Unplaced>& unplaced);
     void onNoCapacity(const protocol::NoCapacity& message);
     void noteClass(const protocol::JobSpec& spec);
+    // Whether it may be worth emptying this part's machines: nothing waits, and those that
+    // would be given back need not stand ready.
+    [[nodiscard]] bool mayEmpty(std::uint32_t part);
     // Idle, never-booting, faulty and silent machines.
     void review(std::uint32_t part);
 
@@ -55,6 +58,7 @@
     [[nodiscard]] bool asking(const Kind& kind) const;
     void retire(Machine& machine, const char* why);
     void release();
+    [[nodiscard]] bool standsReady(const Machine& machine) const;
     [[nodiscard]] Duration idleLimit(const Machine& machine, const MachineType& type) const;
     void forgetMachine(std::uint32_t part, const std::string& id);
     [[nodiscard]] std::optional<Kind> cheapest(const Job& job, std::uint32_t tasks) const;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -19,6 +19,9 @@
 constexpr double idleGpuSeconds = 25;  // what using up a GPU machine's CPUs counts as
 // What has no aim (left) is served as if it had to start this long after its submission.
 constexpr Seconds patience{600};
+constexpr auto settledRun = std::chrono::seconds(32);
+constexpr double leastLeftToMove = 20;  // seconds, by the estimate
+constexpr double thinUse = 0.5;
 constexpr Seconds riskMargin{10};
 constexpr auto reservation = std::chrono::seconds(20);  // to save, report and be placed
 constexpr double fetchWorth = 5;
@@ -55,7 +58,7 @@
 
 bool Placement::takesWork(const Machine& machine) const {
     const auto now = context_.now();
-    return !machine.retired && !machine.noticeEnds && machine.heard &&
+    return !machine.retired && !machine.emptying && !machine.noticeEnds && machine.heard &&
            now - *machine.heard < ticks(context_.settings.report * silentReports) &&
            now >= machine.notBefore;
 }
@@ -411,6 +414,70 @@
     return machines;
 }
 
+bool Placement::canEmpty(Ledger& ledger, const Machine& machine, std::vector<Claim*>& claims) {
+    const auto now = context_.now();
+    std::map<std::string, Resources> taken;
+    double longestLeft = 0;
+    for (const auto& ref : machine.claims) {
+        Job* job = ledger.job(ref.job);
+        Slice* slice = job == nullptr ? nullptr : job->sliceOf(ref.task);
+        Claim* claim = slice == nullptr ? nullptr : slice->claimOf(ref.task);
+        // Only what saves its progress, runs long enough to have counted as started, and is not
+        // tied to other tasks.
+        if (claim == nullptr || !claim->durable || claim->stopGrace || !claim->ran ||
+            now - *claim->ran < settledRun || job->spec.checkpoint.count() <= 0 || job->cancelled ||
+            job->spec.oneZone != (job->spec.tasks == 1 && job->spec.oneZone) || job->spec.spread ||
+            (job->spec.kind == JobKind::gang && job->spec.tasks > 1))
+            return false;
+        longestLeft =
+            std::max(longestLeft, Seconds(job->spec.estimate - Seconds(now - *claim->ran)).count());
+        bool fits = false;
+        for (const auto& [id, other] : ledger.machines) {
+            // Into machines in use only: an empty one might be the next to go.
+            if (other.part != machine.part || id == machine.id || other.claims.empty() ||
+                !takesWork(other))
+                continue;
+            Machine after = other;
+            after.used += taken[id];
+            if (!allowed(*job, after, {})) continue;
+            taken[id] += job->spec.each;
+            fits = true;
+            break;
+        }
+        if (!fits) return false;
+        claims.push_back(claim);
+    }
+    return longestLeft > leastLeftToMove;
+}
+
+std::optional<std::string> Placement::emptyOne(std::uint32_t part) {
+    auto ledger = context_.ledger.lock();
+    Machine* best = nullptr;
+    std::vector<Claim*> bestClaims;
+    double bestWaste = 0;
+    for (auto& [id, machine] : ledger->machines) {
+        if (machine.part != part) continue;
+        if (machine.emptying && !machine.claims.empty()) return std::nullopt;  // one at a time
+        const auto* type = context_.type(machine.type);
+        if (type == nullptr || machine.claims.empty() || !takesWork(machine)) continue;
+        const double share = std::max(machine.used.cpus / std::max(1.0, type->capacity.cpus),
+                                      machine.used.gpus / std::max(1.0, type->capacity.gpus));
+        if (share > thinUse) continue;
+        const double waste = (machine.spot ? type->spotPrice : type->price) * (1 - share);
+        std::vector<Claim*> claims;
+        if (waste <= bestWaste || !canEmpty(*ledger, machine, claims)) continue;
+        best = &machine;
+        bestClaims = std::move(claims);
+        bestWaste = waste;
+    }
+    if (best == nullptr) return std::nullopt;
+    spdlog::debug("machine {}: emptying, {} tasks", best->id, bestClaims.size());
+    best->emptying = true;
+    for (std::size_t i = 0; i < bestClaims.size(); ++i)
+        bestClaims[i]->stopGrace = ledger->job(best->claims[i].job)->spec.save;
+    return best->id;
+}
+
 std::uint32_t Placement::roomFor(const Job& job, std::uint32_t part, std::uint32_t most) {
     auto ledger = context_.ledger.lock();
     std::uint32_t room = 0;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -23,6 +23,9 @@
     // Stops work of lower priority for a job that would miss its aim; the machines concerned.
     std::set<std::string> preemptFor(std::uint32_t part, const std::vector<Unplaced>& unplaced);
 
+    // Picks a thinly used machine whose tasks fit on others and stops them to move there.
+    std::optional<std::string> emptyOne(std::uint32_t part);
+
     // Ready tasks of the part: to start, without a place (the paper's readyQ).
     [[nodiscard]] std::uint32_t queueLength(std::uint32_t part);
     // How many more tasks like the job's the part's machines could start right now.
@@ -52,6 +55,7 @@
                              bool& overShare);
     bool placeGang(Ledger& ledger, std::uint32_t part, Job& job, Resources& left, bool& overShare);
     void stopBrokenGang(Job& job);
+    bool canEmpty(Ledger& ledger, const Machine& machine, std::vector<Claim*>& claims);
     bool makeRoom(Ledger& ledger, std::uint32_t part, const Job& job,
                   std::set<std::string>& machines);
     Machine* choose(Ledger& ledger, std::uint32_t part, const Job& job,
