--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -390,29 +390,40 @@
                       });
 }
 
-void Fleet::noteClass(const protocol::JobSpec& spec) {
-    // A class whose aims leave no time to boot a machine and fetch the image needs machines that
-    // stand ready between its jobs.
-    auto& needs = standing_[spec.jobClass];
-    needs.lastSeen = context_.now();
-    needs.types.clear();
-    std::optional<Seconds> slack;
-    const auto consider = [&slack](Seconds s) { slack = slack ? std::min(*slack, s) : s; };
-    for (const auto& objective : context_.settings.objectives) {
-        if (objective.jobClass != spec.jobClass) continue;
-        if (objective.kind == app::ObjectiveKind::wait) consider(objective.within);
-        if (objective.kind == app::ObjectiveKind::finished)
-            consider(objective.within - spec.estimate);
+void Fleet::noteClasses(const Ledger& ledger) {
+    // A class most of whose jobs have aims that leave no time to boot a machine and fetch the
+    // image needs machines that stand ready between its jobs.
+    struct Seen {
+        int jobs = 0;
+        int pressed = 0;
+        std::set<std::string> types;
+    };
+    std::map<std::string, Seen> classes;
+    for (const auto& [id, job] : ledger.jobs) {
+        const auto& spec = job.spec;
+        std::optional<Seconds> slack;
+        const auto consider = [&slack](Seconds s) { slack = slack ? std::min(*slack, s) : s; };
+        for (const auto& objective : context_.settings.objectives) {
+            if (objective.jobClass != spec.jobClass) continue;
+            if (objective.kind == app::ObjectiveKind::wait) consider(objective.within);
+            if (objective.kind == app::ObjectiveKind::finished)
+                consider(objective.within - spec.estimate);
+        }
+        if (spec.deadline) consider(*spec.deadline - spec.estimate);
+        auto& seen = classes[spec.jobClass];
+        ++seen.jobs;
+        bool inTime = !slack;
+        for (const auto& type : context_.catalog) {
+            if (!Placement::typeAllowed(spec, type, spec.zone.value_or(""), false)) continue;
+            seen.types.insert(type.name);
+            inTime = inTime || type.bootTime + Seconds(spec.imageSize / type.fetchRate) < *slack;
+        }
+        if (!inTime) ++seen.pressed;
     }
-    if (spec.deadline) consider(*spec.deadline - spec.estimate);
-    if (!slack) return;
-    bool inTime = false;
-    for (const auto& type : context_.catalog) {
-        if (!Placement::typeAllowed(spec, type, spec.zone.value_or(""), false)) continue;
-        needs.types.insert(type.name);
-        inTime = inTime || type.bootTime + Seconds(spec.imageSize / type.fetchRate) < *slack;
+    for (auto& [name, seen] : classes) {
+        if (seen.pressed * 2 <= seen.jobs) seen.types.clear();
+        standing_[name] = {std::move(seen.types), context_.now()};
     }
-    if (inTime) needs.types.clear();
 }
 
 bool Fleet::standsReady(const Machine& machine) const {
@@ -443,7 +454,7 @@
     if (!membership_.leaseStands()) return;
     const auto now = context_.now();
     auto ledger = context_.ledger.lock();
-    for (const auto& [id, job] : ledger->jobs) noteClass(job.spec);
+    noteClasses(*ledger);
     std::size_t live = 0;
     std::size_t silent = 0;
     for (const auto& [id, machine] : ledger->machines) {
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -23,7 +23,7 @@
     std::function<void()> onAnswer = [] {};
     void rentFor(std::uint32_t part, const std::vector<Unplaced>& unplaced);
     void onNoCapacity(const protocol::NoCapacity& message);
-    void noteClass(const protocol::JobSpec& spec);
+    void noteClasses(const Ledger& ledger);
     // Whether it may be worth emptying this part's machines: nothing waits, and those that
     // would be given back need not stand ready.
     [[nodiscard]] bool mayEmpty(std::uint32_t part);
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -426,8 +426,7 @@
         // tied to other tasks.
         if (claim == nullptr || !claim->durable || claim->stopGrace || !claim->ran ||
             now - *claim->ran < settledRun || job->spec.checkpoint.count() <= 0 || job->cancelled ||
-            job->spec.oneZone != (job->spec.tasks == 1 && job->spec.oneZone) || job->spec.spread ||
-            (job->spec.kind == JobKind::gang && job->spec.tasks > 1))
+            (job->spec.tasks > 1 && job->undivided()))
             return false;
         longestLeft =
             std::max(longestLeft, Seconds(job->spec.estimate - Seconds(now - *claim->ran)).count());
