--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -143,6 +143,8 @@
     // team -> part -> share
     std::map<std::string, std::map<std::uint32_t, TeamShare>> shares;
     std::map<std::string, std::uint64_t> shareVersions;
+    std::vector<protocol::MachineType> catalog;  // as last recorded
+    std::uint64_t catalogVersion = 0;
     std::set<std::string> goneMachines;  // their records went after proof; names never return
     std::uint64_t applied = 0;           // every change up to this revision is in here
 
--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -210,6 +210,10 @@
     return {{"shares", std::move(list)}};
 }
 
+Json catalogValue(const std::vector<protocol::MachineType>& types) {
+    return protocol::encodeCatalog(types);
+}
+
 Json finalValue(bool cancelled) {
     return {{"cancelled", cancelled}};
 }
@@ -228,7 +232,12 @@
 }
 
 void applyEvent(Ledger& ledger, const protocol::Event& event, SteadyTime now) {
-    if (event.key == keys::term) {
+    if (event.key == keys::catalog) {
+        if (event.value && event.version > ledger.catalogVersion) {
+            ledger.catalog = protocol::parseCatalog(*event.value);
+            ledger.catalogVersion = event.version;
+        }
+    } else if (event.key == keys::term) {
         if (event.value && event.version > ledger.termVersion) {
             ledger.lastTerm = countOf(*event.value, "term");
             ledger.termVersion = event.version;
--- a/src/bookkeeping/records.h
+++ b/src/bookkeeping/records.h
@@ -16,6 +16,7 @@
 namespace keys {
 inline constexpr auto live = "live/";
 inline constexpr auto term = "live/term";
+inline constexpr auto catalog = "live/catalog";
 std::string job(const std::string& id);
 std::string slice(const std::string& id, std::uint32_t index);
 std::string machine(const std::string& id);
@@ -30,6 +31,7 @@
 Json machineValue(const Machine& machine);
 Json partValue(const Part& part);
 Json shareValue(const std::map<std::uint32_t, TeamShare>& shares);
+Json catalogValue(const std::vector<protocol::MachineType>& types);
 Json finalValue(bool cancelled);
 bool finalIsCancelled(const Json& value);
 
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -30,6 +30,7 @@
       intake_(context_, membership_, moves_) {
     mirror_.inFlight = [this](const std::string& key) { return committer_.inFlight(key); };
     mirror_.onChange = [this] {
+        fleet_.adoptCatalog();
         membership_.review();
         noteCancellations();
         soon();
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -42,15 +42,55 @@
 void Fleet::loadCatalog() {
     context_.cloud.catalog([this](std::optional<std::vector<MachineType>> types) {
         if (types && !types->empty()) {
-            if (context_.catalog.empty())
+            if (!catalogLoaded_)
                 spdlog::info("cloud: catalog with {} machine types", types->size());
             context_.catalog = std::move(*types);
+            catalogLoaded_ = true;
+            recordCatalog();
         }
-        const Duration pause = context_.catalog.empty() ? Duration(catalogRetry) : catalogPeriod;
+        const Duration pause = catalogLoaded_ ? Duration(catalogPeriod) : catalogRetry;
         context_.timers.after(context_.jittered(pause), [this] { loadCatalog(); });
     });
 }
 
+void Fleet::recordCatalog() {
+    // A controller that starts while the cloud does not answer would else know no machine types,
+    // and take in and place nothing (incident inc-058e).
+    if (!membership_.active(0) || !membership_.leaseStands()) return;
+    auto value = bookkeeping::catalogValue(context_.catalog);
+    std::uint64_t version = 0;
+    {
+        auto ledger = context_.ledger.lock();
+        version = ledger->catalogVersion;
+        // Prices move all the time and are not worth a write.
+        const auto same = [](const MachineType& a, const MachineType& b) {
+            return a.name == b.name && a.capacity.fits(b.capacity) && b.capacity.fits(a.capacity) &&
+                   a.zones == b.zones;
+        };
+        if (std::equal(context_.catalog.begin(), context_.catalog.end(), ledger->catalog.begin(),
+                       ledger->catalog.end(), same))
+            return;
+    }
+    if (static_cast<double>(value.dump().size()) > context_.settings.valueKb * 1024) return;
+    const auto types = context_.catalog;
+    committer_.commit(0,
+                      {{{bookkeeping::keys::catalog, version}},
+                       {{bookkeeping::keys::catalog, std::move(value), 0}}},
+                      [this, types](CommitResult result, std::uint64_t revision) {
+                          if (result != CommitResult::done) return;
+                          auto ledger = context_.ledger.lock();
+                          ledger->catalog = types;
+                          ledger->catalogVersion = std::max(ledger->catalogVersion, revision);
+                      });
+}
+
+void Fleet::adoptCatalog() {
+    auto ledger = context_.ledger.lock();
+    if (!context_.catalog.empty() || ledger->catalog.empty()) return;
+    context_.catalog = ledger->catalog;
+    spdlog::info("cloud: {} machine types from the record", context_.catalog.size());
+}
+
 void Fleet::listMachines() {
     if (membership_.activeParts().empty()) {
         context_.timers.after(context_.jittered(500ms), [this] { listMachines(); });
@@ -454,6 +494,8 @@
     if (!membership_.leaseStands()) return;
     const auto now = context_.now();
     auto ledger = context_.ledger.lock();
+    if (part == 0 && ledger->catalog.empty() && !context_.catalog.empty() && !committer_.busy(0))
+        recordCatalog();
     noteClasses(*ledger);
     std::size_t live = 0;
     std::size_t silent = 0;
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -18,6 +18,8 @@
           reports_(reports) {}
 
     void start();
+    // Before the cloud has answered, what was recorded of its machine types serves.
+    void adoptCatalog();
     // A worker reports that nobody has assigned yet.
     void assignReported(const protocol::WorkerReport& report);
     std::function<void()> onAnswer = [] {};
@@ -43,6 +45,7 @@
     };
 
     void loadCatalog();
+    void recordCatalog();
     void listMachines();
     void listPage(const std::string& after, SteadyTime asked,
                   std::vector<protocol::CloudMachine> sofar);
@@ -85,6 +88,7 @@
     std::set<std::string> releasing_;
     std::set<std::string> dropping_;
     std::uint64_t rentals_ = 0;
+    bool catalogLoaded_ = false;
 };
 
 }  // namespace fawnwheel::coordination
--- a/src/coordination/mirror.cpp
+++ b/src/coordination/mirror.cpp
@@ -65,7 +65,7 @@
         ledger->nodes.clear();
         ledger->shares.clear();
         ledger->shareVersions.clear();
-        ledger->lastTerm = ledger->termVersion = 0;
+        ledger->lastTerm = ledger->termVersion = ledger->catalogVersion = 0;
         for (const auto& item : items_) {
             if (const auto slash = item.key.rfind('/');
                 item.key.starts_with(bookkeeping::keys::machine({}))) {
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -287,6 +287,22 @@
     return types;
 }
 
+Json encodeCatalog(const std::vector<MachineType>& types) {
+    Json list = Json::array();
+    for (const auto& type : types)
+        list.push_back({{wire::name, type.name},
+                        {wire::cpus, type.capacity.cpus},
+                        {wire::gpus, type.capacity.gpus},
+                        {wire::memory, type.capacity.memory},
+                        {wire::cacheSize, type.cacheSize},
+                        {wire::fetchRate, type.fetchRate},
+                        {wire::price, type.price},
+                        {wire::spotPrice, type.spotPrice},
+                        {wire::bootTime, type.bootTime.count()},
+                        {wire::zones, type.zones}});
+    return {{wire::types, std::move(list)}};
+}
+
 CloudPage parseCloudPage(const Json& body) {
     CloudPage page;
     for (const auto& entry : listOf(body, wire::machines)) {
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -107,6 +107,7 @@
 };
 
 std::vector<MachineType> parseCatalog(const Json& body);
+Json encodeCatalog(const std::vector<MachineType>& types);
 
 enum class CloudState { booting, running, failed };
 
