--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -226,7 +226,9 @@
     auto zoneUse = zoneUseOf(ledger, job);
     std::uint32_t placed = 0;
     for (auto& slice : job.slices) {
-        if (slice.part != part || slice.leaving) continue;
+        if (slice.part != part || slice.leaving ||
+            slice.doneCount + slice.claims.size() >= slice.done.size())
+            continue;
         for (std::uint32_t i = 0; i < slice.done.size(); ++i) {
             const auto task = slice.first + i;
             if (slice.done[i] || slice.claimOf(task) != nullptr) continue;
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -46,38 +46,12 @@
     visit(m.accepted);
 }
 template <typename Visit>
-void fields(LendAsk& m, Visit visit) {
-    visit(m.fromPart);
-    visit(m.toPart);
-    visit(m.job);
-    visit(m.tasks);
-}
-template <typename Visit>
-void fields(QuotaAsk& m, Visit visit) {
-    visit(m.fromPart);
-    visit(m.toPart);
-    visit(m.team);
-    visit(m.milliCpus);
-    visit(m.milliGpus);
-}
-template <typename Visit>
 void fields(NoCapacity& m, Visit visit) {
     visit(m.type);
     visit(m.zone);
     visit(m.spot);
     visit(m.pauseMillis);
 }
-template <typename Visit>
-void fields(RelayedReport& m, Visit visit) {
-    visit(m.relay);
-    visit(m.body);
-}
-template <typename Visit>
-void fields(RelayedAnswer& m, Visit visit) {
-    visit(m.relay);
-    visit(m.status);
-    visit(m.body);
-}
 
 template <std::size_t Index = 0>
 bool readKind(std::uint64_t kind, VarintReader& in, PeerMessage& out) {
--- a/src/protocol/peer_codec.h
+++ b/src/protocol/peer_codec.h
@@ -60,23 +60,6 @@
     bool accepted = false;
 };
 
-// "Lend my part machines for one start of this gang."
-struct LendAsk {
-    std::uint32_t fromPart = 0;
-    std::uint32_t toPart = 0;
-    std::string job;
-    std::uint32_t tasks = 0;
-};
-
-// "My part needs more of the team's limit than its share."
-struct QuotaAsk {
-    std::uint32_t fromPart = 0;
-    std::uint32_t toPart = 0;
-    std::string team;
-    std::uint64_t milliCpus = 0;
-    std::uint64_t milliGpus = 0;
-};
-
 // "The cloud has no more machines of this kind": spares the peers the same call.
 struct NoCapacity {
     std::string type;
@@ -85,20 +68,7 @@
     std::uint64_t pauseMillis = 0;
 };
 
-// A worker's report, passed on to the machine's owner by a node that the worker can reach.
-struct RelayedReport {
-    std::uint64_t relay = 0;
-    std::string body;
-};
-
-struct RelayedAnswer {
-    std::uint64_t relay = 0;
-    std::uint32_t status = 0;
-    std::string body;
-};
-
-using PeerMessage = std::variant<Status, MoveAsk, MoveAnswer, LendAsk, QuotaAsk, NoCapacity,
-                                 RelayedReport, RelayedAnswer>;
+using PeerMessage = std::variant<Status, MoveAsk, MoveAnswer, NoCapacity>;
 
 struct PeerEnvelope {
     std::string sender;
--- a/tests/unit/peer_codec_test.cpp
+++ b/tests/unit/peer_codec_test.cpp
@@ -29,6 +29,11 @@
     EXPECT_TRUE(ask.wholeJob);
     EXPECT_EQ(ask.tasks, 100'000U);
     EXPECT_TRUE(roundTrip(MoveAnswer{1, true}).accepted);
+    const auto full = roundTrip(NoCapacity{"g8", "a", true, 8000});
+    EXPECT_EQ(full.type, "g8");
+    EXPECT_EQ(full.zone, "a");
+    EXPECT_TRUE(full.spot);
+    EXPECT_EQ(full.pauseMillis, 8000U);
 }
 
 TEST(PeerCodec, RefusesOtherVersionsKindsAndTrailingBytes) {
