--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -77,6 +77,14 @@
     return found == machines.end() ? nullptr : &found->second;
 }
 
+Held Ledger::held(const TaskRef& ref) {
+    Job* found = job(ref.job);
+    Slice* slice = found == nullptr ? nullptr : found->sliceOf(ref.task);
+    Claim* claim = slice == nullptr ? nullptr : slice->claimOf(ref.task);
+    if (claim == nullptr || claim->attempt != ref.attempt) return {};
+    return {found, slice, claim};
+}
+
 void Ledger::attach(const Job& job, const Claim& claim) {
     Machine* m = machine(claim.machine);
     if (m == nullptr) return;
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -102,7 +102,7 @@
     std::uint64_t session = 0;
     std::uint64_t sequence = 0;
     std::uint64_t endedSession = 0;  // its lease has surely run out
-    std::uint64_t tokenSeen = 0;
+
     std::optional<SteadyTime> heard;  // last newer report, by this process as its owner
     SteadyTime silentSince{};         // leases can't have been renewed after this
     SteadyTime known{};               // when this process first knew of it
@@ -132,6 +132,14 @@
     double gpus = 0;
 };
 
+// A claim with what it belongs to; empty if it has ended.
+struct Held {
+    Job* job = nullptr;
+    Slice* slice = nullptr;
+    Claim* claim = nullptr;
+    explicit operator bool() const { return claim != nullptr; }
+};
+
 class Ledger {
   public:
     std::map<std::string, Job> jobs;
@@ -150,6 +158,7 @@
 
     [[nodiscard]] Job* job(const std::string& id);
     [[nodiscard]] Machine* machine(const std::string& id);
+    [[nodiscard]] Held held(const TaskRef& ref);
 
     void addClaim(Job& job, Slice& slice, Claim claim);
     void removeClaim(Job& job, Slice& slice, std::uint32_t task);
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -353,9 +353,7 @@
         Resources room = type->capacity;
         room -= machine.used;
         for (const auto& ref : machine.claims) {
-            Job* other = ledger.job(ref.job);
-            Slice* slice = other == nullptr ? nullptr : other->sliceOf(ref.task);
-            Claim* claim = slice == nullptr ? nullptr : slice->claimOf(ref.task);
+            const auto [other, slice, claim] = ledger.held(ref);
             if (claim == nullptr || !claim->durable) continue;
             if (claim->stopGrace) {
                 room += other->spec.each;  // on its way out already
@@ -421,9 +419,7 @@
     std::map<std::string, Resources> taken;
     double longestLeft = 0;
     for (const auto& ref : machine.claims) {
-        Job* job = ledger.job(ref.job);
-        Slice* slice = job == nullptr ? nullptr : job->sliceOf(ref.task);
-        Claim* claim = slice == nullptr ? nullptr : slice->claimOf(ref.task);
+        const auto [job, slice, claim] = ledger.held(ref);
         // Only what saves its progress, runs long enough to have counted as started, and is not
         // tied to other tasks.
         if (claim == nullptr || !claim->durable || claim->stopGrace || !claim->ran ||
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -89,16 +89,13 @@
     if (machine.session != report.session) machine.images.clear();
     machine.session = report.session;
     machine.sequence = report.sequence;
-    machine.tokenSeen = report.token;
     machine.heard = now;
     if (report.notice && !machine.noticeEnds) {
         spdlog::info("machine {}: notice, {:.1f} s", machine.id, report.notice->count());
         machine.noticeEnds = now + ticks(*report.notice);
         // The notice may be half as long as it says: save at once.
         for (const auto& ref : machine.claims) {
-            Job* job = ledger.job(ref.job);
-            Slice* slice = job == nullptr ? nullptr : job->sliceOf(ref.task);
-            Claim* claim = slice == nullptr ? nullptr : slice->claimOf(ref.task);
+            const auto [job, slice, claim] = ledger.held(ref);
             if (claim == nullptr) continue;
             if (!claim->seen) claim->giveUp = true;
             if (job->spec.checkpoint.count() > 0 || claim->state != TaskState::running)
@@ -113,10 +110,8 @@
     const auto claims = machine.claims;
     for (const auto& ref : claims) {
         if (find(report, ref) != nullptr) continue;
-        Job* job = ledger.job(ref.job);
-        Slice* slice = job == nullptr ? nullptr : job->sliceOf(ref.task);
-        Claim* claim = slice == nullptr ? nullptr : slice->claimOf(ref.task);
-        if (claim == nullptr || claim->attempt != ref.attempt || !claim->durable) continue;
+        const auto [job, slice, claim] = ledger.held(ref);
+        if (claim == nullptr || !claim->durable) continue;
         // Unless it is still to be started.
         if (!claim->seen && !claim->giveUp && !job->cancelled && !machine.retired) continue;
         spdlog::debug("task {}/{}: not on {} (any more)", ref.job, ref.task, machine.id);
@@ -260,11 +255,8 @@
     if (!membership_.leaseStands() || machine.retired || machine.noticeEnds) return;
     for (const auto& ref : machine.claims) {
         if (find(report, ref) != nullptr) continue;
-        Job* job = ledger.job(ref.job);
-        Slice* slice = job == nullptr ? nullptr : job->sliceOf(ref.task);
-        const Claim* claim = slice == nullptr ? nullptr : slice->claimOf(ref.task);
-        if (claim == nullptr || claim->attempt != ref.attempt || slice->part != machine.part)
-            continue;
+        const auto [job, slice, claim] = ledger.held(ref);
+        if (claim == nullptr || slice->part != machine.part) continue;
         if (startable(*job, *claim))
             commands.push_back({CommandKind::start, ref.job, ref.task, ref.attempt, {}});
     }
@@ -315,9 +307,7 @@
     if (machine == nullptr || !membership_.active(machine->part)) return;
     std::vector<Command> commands;
     for (const auto& ref : machine->claims) {
-        Job* job = ledger->job(ref.job);
-        Slice* slice = job == nullptr ? nullptr : job->sliceOf(ref.task);
-        const Claim* claim = slice == nullptr ? nullptr : slice->claimOf(ref.task);
+        const auto [job, slice, claim] = ledger->held(ref);
         if (claim != nullptr && claim->stopGrace && claim->state != TaskState::saving)
             commands.push_back(
                 {CommandKind::stop, ref.job, ref.task, ref.attempt, *claim->stopGrace});
@@ -340,10 +330,8 @@
     if (!claims.empty())
         spdlog::info("machine {}: {} tasks gone, {}", machine.id, claims.size(), why);
     for (const auto& ref : claims) {
-        Job* job = ledger->job(ref.job);
-        Slice* slice = job == nullptr ? nullptr : job->sliceOf(ref.task);
-        const Claim* claim = slice == nullptr ? nullptr : slice->claimOf(ref.task);
-        if (claim == nullptr || claim->attempt != ref.attempt || !claim->durable) continue;
+        const auto [job, slice, claim] = ledger->held(ref);
+        if (claim == nullptr || !claim->durable) continue;
         ledger->removeClaim(*job, *slice, ref.task);
     }
     if (!claims.empty()) onChange();
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -446,19 +446,12 @@
     const auto path = request.path.substr(0, request.path.find('?'));
     const auto body = protocol::decodeCbor(request.body);
     if (path == wire::pathCatalog) {
-        Json types = Json::array();
-        for (const auto& [type, capacity, spotCapacity] : spec_.types)
-            types.push_back({{wire::name, type.name},
-                             {wire::cpus, type.capacity.cpus},
-                             {wire::gpus, type.capacity.gpus},
-                             {wire::memory, type.capacity.memory},
-                             {wire::cacheSize, type.cacheSize},
-                             {wire::fetchRate, type.fetchRate},
-                             {wire::price, type.price},
-                             {wire::spotPrice, type.spotPrice},
-                             {wire::bootTime, type.bootTime.count()},
-                             {wire::zones, spec_.zones}});
-        return reply(answer(200, {{wire::types, types}}));
+        std::vector<protocol::MachineType> types;
+        for (const auto& entry : spec_.types) {
+            types.push_back(entry.type);
+            types.back().zones = spec_.zones;
+        }
+        return reply(answer(200, protocol::encodeCatalog(types)));
     }
     if (path == wire::pathRelease) {
         for (const auto& name : protocol::listOf(*body, wire::machines)) {
