Paged lists no longer crash a controller; machines are recorded in batches by their parts

Also: the committer sent a transaction twice when a callback had queued it; a machine without a record belongs to a default part by zone and number, is recorded by that part's owner many at a time, and only once a job could use it; passes over machines go by part; what teams are guaranteed is kept at hand; the pause between lists grows with their pages.

--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -77,6 +77,32 @@
     return found == machines.end() ? nullptr : &found->second;
 }
 
+const std::vector<Machine*>& Ledger::machinesOf(std::uint32_t part) const {
+    static const std::vector<Machine*> none;
+    const auto found = byPart_.find(part);
+    return found == byPart_.end() ? none : found->second;
+}
+
+Machine& Ledger::addMachine(const std::string& id, std::uint32_t part) {
+    const auto [entry, fresh] = machines.try_emplace(id);
+    Machine& added = entry->second;
+    if (!fresh) {
+        movePart(added, part);
+        return added;
+    }
+    added.id = id;
+    added.part = part;
+    byPart_[part].push_back(&added);
+    return added;
+}
+
+void Ledger::movePart(Machine& machine, std::uint32_t part) {
+    if (machine.part == part) return;
+    std::erase(byPart_[machine.part], &machine);
+    machine.part = part;
+    byPart_[part].push_back(&machine);
+}
+
 Held Ledger::held(const TaskRef& ref) {
     Job* found = job(ref.job);
     Slice* slice = found == nullptr ? nullptr : found->sliceOf(ref.task);
@@ -123,7 +149,10 @@
 }
 
 void Ledger::dropMachine(const std::string& id) {
-    machines.erase(id);
+    if (const auto found = machines.find(id); found != machines.end()) {
+        std::erase(byPart_[found->second.part], &found->second);
+        machines.erase(found);
+    }
     goneMachines.insert(id);
     // Names are given out in order: the oldest can't be in a lagging list any more.
     if (goneMachines.size() > maxGone) goneMachines.erase(goneMachines.begin());
@@ -149,10 +178,12 @@
     slice.dirty = false;
 }
 
-void Ledger::rebuildClaims() {
+void Ledger::rebuildIndexes() {
+    byPart_.clear();
     for (auto& [id, m] : machines) {
         m.claims.clear();
         m.used = {};
+        byPart_[m.part].push_back(&m);
     }
     for (const auto& [id, j] : jobs)
         for (const auto& slice : j.slices)
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -94,8 +94,10 @@
     std::string zone;
     bool spot = false;
     std::uint32_t part = 0;
-    bool retired = false;  // a release was or will be sent: never gets work again
-    std::uint64_t version = 0;
+    std::optional<std::uint32_t> lender;  // part that has lent it to `part`
+    std::uint64_t tokenFloor = 0;         // its worker may have seen this token from a lender
+    bool retired = false;                 // a release was or will be sent: never gets work again
+    std::uint64_t version = 0;  // 0: no record yet, and so no work
 
     // Not durable: learnt from reports and lists.
     std::string address;
@@ -158,6 +160,9 @@
 
     [[nodiscard]] Job* job(const std::string& id);
     [[nodiscard]] Machine* machine(const std::string& id);
+    [[nodiscard]] const std::vector<Machine*>& machinesOf(std::uint32_t part) const;
+    Machine& addMachine(const std::string& id, std::uint32_t part);
+    void movePart(Machine& machine, std::uint32_t part);
     [[nodiscard]] Held held(const TaskRef& ref);
 
     void addClaim(Job& job, Slice& slice, Claim claim);
@@ -167,14 +172,16 @@
     // Replaces a slice's durable content, keeping what is known of claims that stay.
     void replaceSlice(Job& job, Slice& slice, std::uint32_t part, std::vector<bool> done,
                       std::vector<Claim> claims);
-    // After the jobs were read anew.
-    void rebuildClaims();
+    // After the records were read anew.
+    void rebuildIndexes();
 
     [[nodiscard]] Resources usedBy(const std::string& team, std::uint32_t part) const;
 
   private:
     void attach(const Job& job, const Claim& claim);
     void detach(const Job& job, const Claim& claim);
+
+    std::map<std::uint32_t, std::vector<Machine*>> byPart_;
 };
 
 std::vector<Slice> makeSlices(const JobSpec& spec, std::uint32_t sliceSize, std::uint32_t part);
--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -98,15 +98,17 @@
     }
     const Json& value = *event.value;
     const bool fresh = known == nullptr;
-    if (fresh) known = &ledger.machines[id];
-    Machine& m = *known;
     const auto part = static_cast<std::uint32_t>(countOf(value, "part"));
-    if (fresh || m.part != part) m.known = m.silentSince = m.idleSince = now;
-    m.id = id;
+    const bool moved = !fresh && known->part != part;
+    Machine& m = ledger.addMachine(id, part);
+    if (fresh || moved) m.known = m.silentSince = m.idleSince = now;
+    m.lender.reset();
+    if (value.contains("lender"))
+        m.lender = static_cast<std::uint32_t>(countOf(value, "lender"));
+    m.tokenFloor = countOf(value, "floor");
     m.type = textOf(value, "type");
     m.zone = textOf(value, "zone");
     m.spot = flagOf(value, "spot");
-    m.part = part;
     m.retired = flagOf(value, "retired");
     m.version = event.version;
     if (!fresh) return;
@@ -193,11 +195,14 @@
 }
 
 Json machineValue(const Machine& machine) {
-    return {{"type", machine.type},
-            {"zone", machine.zone},
-            {"spot", machine.spot},
-            {"part", machine.part},
-            {"retired", machine.retired}};
+    Json value{{"type", machine.type},
+               {"zone", machine.zone},
+               {"spot", machine.spot},
+               {"part", machine.part},
+               {"retired", machine.retired}};
+    if (machine.lender) value["lender"] = *machine.lender;
+    if (machine.tokenFloor > 0) value["floor"] = machine.tokenFloor;
+    return value;
 }
 
 Json partValue(const Part& part) {
--- a/src/coordination/committer.cpp
+++ b/src/coordination/committer.cpp
@@ -17,7 +17,7 @@
 void Committer::commit(std::uint32_t part, protocol::Transaction transaction, Done done) {
     for (const auto& change : transaction.changes) keys_.insert(change.key);
     auto& queue = queues_[part];
-    queue.push_back({std::move(transaction), std::move(done), false, nextId_++});
+    queue.push_back({std::move(transaction), std::move(done), false, false, nextId_++});
     if (queue.size() == 1) send(part);
 }
 
@@ -39,6 +39,9 @@
     const auto found = queues_.find(part);
     if (found == queues_.end() || found->second.empty()) return;
     Work& work = found->second.front();
+    // What a callback of the work before has queued may be under way already.
+    if (work.sending) return;
+    work.sending = true;
     protocol::Transaction transaction = work.transaction;
     // Guards against a late or stale transaction: an owner that has lost its part, or an earlier
     // life of this process, can no longer change anything.
@@ -50,6 +53,7 @@
             const auto queue = queues_.find(part);
             if (queue == queues_.end() || queue->second.empty() || queue->second.front().id != id)
                 return;
+            queue->second.front().sending = false;
             switch (answer.result) {
                 case protocol::StateResult::ok:
                     return settle(part, CommitResult::done, answer.revision);
--- a/src/coordination/committer.h
+++ b/src/coordination/committer.h
@@ -32,7 +32,8 @@
     struct Work {
         protocol::Transaction transaction;
         Done done;
-        bool sent = false;  // at least once without a definite answer
+        bool sent = false;     // at least once without a definite answer
+        bool sending = false;  // its answer is awaited
         std::uint64_t id = 0;
     };
 
--- a/src/coordination/context.h
+++ b/src/coordination/context.h
@@ -1,6 +1,7 @@
 // What the parts of the coordination share.
 #pragma once
 
+#include <charconv>
 #include <random>
 
 #include "app/settings.h"
@@ -56,6 +57,20 @@
             if (t.name == name) return &t;
         return nullptr;
     }
+    // The part that a machine belongs to while no record says otherwise; every node agrees on it.
+    // A part has machines of few zones, so that a gang finds its places together and a cut between
+    // zones parts few of them from their owner.
+    [[nodiscard]] std::uint32_t defaultPart(const std::string& zone, const std::string& id) const {
+        std::vector<std::uint32_t> near;
+        for (std::uint32_t part = 0; part < nodes.size(); ++part)
+            if (settings.zoneOf(nodes[part]) == zone) near.push_back(part);
+        // Names are given out in order: neighbours, mostly of one type, are dealt out evenly.
+        const auto digits = id.find_last_not_of("0123456789") + 1;
+        std::uint64_t number = 0;
+        std::from_chars(id.data() + digits, id.data() + id.size(), number);
+        return near.empty() ? static_cast<std::uint32_t>(number % nodes.size())
+                            : near[number % near.size()];
+    }
     // A duration spread by plus or minus a quarter, so that nodes don't act in step.
     Duration jittered(Duration around) {
         return ticks(Seconds(around) * std::uniform_real_distribution<>(0.75, 1.25)(rng));
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -49,7 +49,7 @@
     };
     recorder_.onDurable = [this] { soon(); };
     reports_.onUnassigned = [this](const protocol::WorkerReport& report) {
-        fleet_.assignReported(report);
+        fleet_.noteReported(report);
     };
     reports_.onChange = [this] { soon(); };
     fleet_.onAnswer = [this] { soon(); };
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -25,11 +25,13 @@
 constexpr double neverBoots = 4.0;  // times the stated boot time
 constexpr auto bootGrace = 20s;
 constexpr double lateBoot = 2.0;  // no longer counted on
+constexpr double slowBoot = 1.5;  // still usual
 constexpr auto silentRelease = 15s;
+constexpr double silentReports = 3.5;  // and no sooner than after so many missed reports
 constexpr Seconds leastCharge{60};
 constexpr auto classMemory = 5min;
-constexpr int maxRentAtOnce = 10;
-constexpr std::size_t maxReleaseAtOnce = 50;
+constexpr int maxRentAtOnce = 50;  // what one call may ask for
+constexpr std::size_t maxReleaseAtOnce = 100;
 constexpr int rentalTries = 3;
 
 }  // namespace
@@ -96,23 +98,27 @@
         context_.timers.after(context_.jittered(500ms), [this] { listMachines(); });
         return;
     }
-    listPage({}, context_.now(), {});
+    listPage({}, context_.now(), {}, 1);
 }
 
 void Fleet::listPage(const std::string& after, SteadyTime asked,
-                     std::vector<protocol::CloudMachine> sofar) {
-    context_.cloud.list(after, [this, asked, sofar = std::move(sofar)](
+                     std::vector<protocol::CloudMachine> sofar, int pages) {
+    context_.cloud.list(after, [this, asked, pages, sofar = std::move(sofar)](
                                    std::optional<protocol::CloudPage> page) mutable {
         if (page) {
             sofar.insert(sofar.end(), page->machines.begin(), page->machines.end());
-            if (page->more && !page->machines.empty())
-                return listPage(sofar.back().id, asked, std::move(sofar));
+            if (page->more && !page->machines.empty()) {
+                // A copy: arguments are evaluated in any order, so that the name once was read
+                // from a list that had been moved away (scenario grown_fleet).
+                const auto last = sofar.back().id;
+                return listPage(last, asked, std::move(sofar), pages + 1);
+            }
             takeInList(asked, sofar);
         }
         const auto share =
             context_.settings.cloudCalls / static_cast<double>(context_.nodes.size());
         const auto pause =
-            std::max<Duration>(listPeriod, ticks(Seconds(1.0 / (share * listShareOfCalls))));
+            std::max<Duration>(listPeriod, ticks(Seconds(pages / (share * listShareOfCalls))));
         context_.timers.after(context_.jittered(pause), [this] { listMachines(); });
     });
 }
@@ -121,6 +127,8 @@
     const auto now = context_.now();
     const auto lag = ticks(context_.settings.listLag * lagMargin) + listMargin;
     std::set<std::string> present;
+    const auto parts = membership_.activeParts();
+    const std::set<std::uint32_t> own(parts.begin(), parts.end());
     auto ledger = context_.ledger.lock();
     for (const auto& listed : machines) {
         present.insert(listed.id);
@@ -132,15 +140,17 @@
         }
         // A lagging list still shows machines that are gone. One that was returned before this
         // process began is told from a new one by the lists of a later moment.
-        if (!membership_.active(0) || ledger->goneMachines.contains(listed.id)) continue;
+        const auto part = context_.defaultPart(listed.zone, listed.id);
+        if (!own.contains(part) || ledger->goneMachines.contains(listed.id)) continue;
         const auto& found = unassigned_.try_emplace(listed.id, Found{listed, now}).first->second;
-        if (asked - found.seen > lag && now - found.seen > renterFirst)
-            assign(listed.id, listed.type, listed.zone, listed.spot, std::nullopt);
+        if (asked - found.seen <= lag || now - found.seen <= renterFirst) continue;
+        unassigned_.erase(listed.id);
+        note(listed.id, listed.type, listed.zone, listed.spot, part);
     }
     std::erase_if(unassigned_, [&](const auto& e) { return !present.contains(e.first); });
     std::vector<std::pair<std::uint32_t, std::string>> gone;
     for (auto& [id, machine] : ledger->machines) {
-        if (!membership_.active(machine.part)) continue;
+        if (!own.contains(machine.part)) continue;
         if (machine.failedInList && !machine.retired) {
             // It has stopped on its own, with all that ran on it.
             reports_.releaseClaims(machine, "failed");
@@ -158,84 +168,103 @@
     for (const auto& [part, id] : gone) forgetMachine(part, id);
 }
 
-std::uint32_t Fleet::partFor(const Ledger& ledger, const std::string& type,
-                             const std::string& zone) const {
-    // Evenly by type; among equals the part whose node is in the machine's zone.
-    struct Score {
-        int sameType = 0;
-        int sameZone = 0;
-        int all = 0;
-    };
-    std::vector<Score> scores(context_.partCount());
-    for (const auto& [id, machine] : ledger.machines) {
-        if (machine.part >= scores.size() || machine.retired) continue;
-        auto& score = scores[machine.part];
-        ++score.all;
-        if (machine.type == type) ++score.sameType;
-    }
-    std::uint32_t best = 0;
-    for (std::uint32_t part = 0; part < scores.size(); ++part) {
-        scores[part].sameZone = context_.settings.zoneOf(context_.nodes[part]) == zone ? 0 : 1;
-        const auto key = [&](std::uint32_t p) {
-            return std::tuple(scores[p].sameType, scores[p].sameZone, scores[p].all);
-        };
-        if (key(part) < key(best)) best = part;
-    }
-    return best;
-}
-
-void Fleet::assignReported(const protocol::WorkerReport& report) {
+void Fleet::noteReported(const protocol::WorkerReport& report) {
     const auto now = context_.now();
     // A report that was held back on its way.
     if (context_.ledger.lock()->goneMachines.contains(report.machine)) return;
     const auto [entry, fresh] = unassigned_.try_emplace(report.machine);
     if (fresh) entry->second.seen = now;
     // Its renter's record may be on its way; but machines that were there before us have none.
-    if (!fresh && now - entry->second.seen > 1s)
-        assign(report.machine, report.type, report.zone, report.spot, std::nullopt);
+    if (fresh || now - entry->second.seen <= 1s) return;
+    unassigned_.erase(entry);
+    note(report.machine, report.type, report.zone, report.spot,
+         context_.defaultPart(report.zone, report.machine));
+}
+
+Machine* Fleet::note(const std::string& id, const std::string& type, const std::string& zone,
+                     bool spot, std::uint32_t part) {
+    auto ledger = context_.ledger.lock();
+    if (ledger->machine(id) != nullptr || ledger->goneMachines.contains(id)) return nullptr;
+    Machine& machine = ledger->addMachine(id, part);
+    machine.type = type;
+    machine.zone = zone;
+    machine.spot = spot;
+    machine.known = machine.silentSince = machine.idleSince = context_.now();
+    return &machine;
 }
 
-void Fleet::assign(const std::string& id, const std::string& type, const std::string& zone,
-                   bool spot, std::optional<std::uint32_t> wanted) {
-    if (!assigning_.insert(id).second) return;
-    Machine record;
-    record.id = id;
-    record.type = type;
-    record.zone = zone;
-    record.spot = spot;
-    std::uint32_t writer = 0;
+void Fleet::record(std::uint32_t part, const std::string& id) {
+    if (!recording_.insert(id).second) return;
+    toRecord_[part].push_back(id);
+    recordSome(part);
+}
+
+void Fleet::recordSome(std::uint32_t part) {
+    // Many in one transaction, and half of what it may hold, so that claims don't wait for long.
+    // With one write after the other a thousand machines took minutes.
+    auto& queue = toRecord_[part];
+    if (queue.empty() || !recordsUnderWay_.insert(part).second) return;
+    const auto most = std::max<std::size_t>(1, context_.settings.transactionChanges / 2);
+    protocol::Transaction transaction;
+    std::vector<std::string> ids;
     {
         auto ledger = context_.ledger.lock();
-        if (ledger->machine(id) != nullptr || ledger->goneMachines.contains(id)) {
-            assigning_.erase(id);
-            return;
+        while (!queue.empty() && ids.size() < most) {
+            const auto id = std::move(queue.front());
+            queue.pop_front();
+            const Machine* machine = ledger->machine(id);
+            if (machine == nullptr || machine->version != 0) {
+                recording_.erase(id);
+                continue;
+            }
+            const auto key = bookkeeping::keys::machine(id);
+            transaction.conditions.push_back({key, 0});
+            transaction.changes.push_back({key, bookkeeping::machineValue(*machine), 0});
+            ids.push_back(id);
         }
-        record.part = wanted ? *wanted : partFor(*ledger, type, zone);
-        if (wanted) writer = *wanted;
-        // Already counted while its record is under way, so that the next goes elsewhere.
-        auto& machine = ledger->machines[id];
-        machine = record;
-        machine.known = machine.silentSince = machine.idleSince = context_.now();
     }
-    committer_.commit(writer,
-                      {{{bookkeeping::keys::machine(id), 0}},
-                       {{bookkeeping::keys::machine(id), bookkeeping::machineValue(record), 0}}},
-                      [this, id, record](CommitResult result, std::uint64_t revision) {
-                          assigning_.erase(id);
-                          auto ledger = context_.ledger.lock();
-                          Machine* machine = ledger->machine(id);
-                          if (machine == nullptr) return;
-                          if (result == CommitResult::done) {
-                              machine->version = std::max(machine->version, revision);
-                              unassigned_.erase(id);
-                              spdlog::debug("machine {}: {} in {}, part {}", id, record.type,
-                                            record.zone, record.part);
-                          } else if (machine->version == 0) {
-                              ledger->dropMachine(id);
+    if (ids.empty()) {
+        recordsUnderWay_.erase(part);
+        return;
+    }
+    committer_.commit(part, std::move(transaction),
+                      [this, part, ids](CommitResult result, std::uint64_t revision) {
+                          recordsUnderWay_.erase(part);
+                          for (const auto& id : ids) {
+                              recording_.erase(id);
+                              auto ledger = context_.ledger.lock();
+                              Machine* machine = ledger->machine(id);
+                              if (machine == nullptr) continue;
+                              if (result == CommitResult::done)
+                                  machine->version = std::max(machine->version, revision);
+                              else if (machine->version == 0 && result == CommitResult::conflict)
+                                  // Another of the batch has a record; this one is tried again.
+                                  record(part, id);
                           }
+                          onAnswer();
+                          recordSome(part);
                       });
 }
 
+bool Fleet::wantedByAny(const Ledger& ledger, const Machine& machine,
+                        const MachineType& type) const {
+    return std::any_of(ledger.jobs.begin(), ledger.jobs.end(), [&](const auto& entry) {
+        return Placement::typeAllowed(entry.second.spec, type, machine.zone, machine.spot);
+    });
+}
+
+void Fleet::reviewUnrecorded(std::uint32_t part, Machine& machine, const MachineType& type) {
+    const auto now = context_.now();
+    if (recording_.contains(machine.id)) return;
+    if (wantedByAny(*context_.ledger.lock(), machine, type)) {
+        record(part, machine.id);
+    } else if (now - machine.idleSince > idleLimit(machine, type)) {
+        // It never had work, and no claim can name it: it needs no record to be given back.
+        spdlog::debug("machine {}: giving back, never wanted", machine.id);
+        machine.retired = true;
+    }
+}
+
 std::optional<Fleet::Kind> Fleet::cheapest(const Job& job, std::uint32_t tasks) const {
     std::optional<Kind> best;
     double bestPrice = 0;
@@ -278,12 +307,12 @@
     std::vector<Coming> coming;
     std::map<Kind, int> wanted;
     auto ledger = context_.ledger.lock();
-    for (const auto& [id, machine] : ledger->machines) {
-        const auto* type = context_.type(machine.type);
-        if (machine.part != part || machine.retired || machine.heard || type == nullptr ||
-            now - machine.known > ticks(type->bootTime * lateBoot) + bootGrace)
+    for (const auto* machine : ledger->machinesOf(part)) {
+        const auto* type = context_.type(machine->type);
+        if (machine->retired || machine->heard || type == nullptr ||
+            now - machine->known > ticks(type->bootTime * lateBoot) + bootGrace)
             continue;
-        coming.push_back({{machine.type, machine.zone, machine.spot}, type->capacity});
+        coming.push_back({{machine->type, machine->zone, machine->spot}, type->capacity});
     }
     for (const auto& [kind, count] : asked_[part])
         for (int i = 0; i < count; ++i)
@@ -334,7 +363,8 @@
                             asked_[part][kind] -= count;
                             onAnswer();
                             for (const auto& id : machines)
-                                assign(id, kind.type, kind.zone, kind.spot, part);
+                                if (note(id, kind.type, kind.zone, kind.spot, part) != nullptr)
+                                    record(part, id);
                             if (static_cast<int>(machines.size()) < count)
                                 noteRefusal(kind);
                             else
@@ -395,13 +425,14 @@
 void Fleet::release() {
     std::vector<std::string> names;
     auto ledger = context_.ledger.lock();
-    for (const auto& [id, machine] : ledger->machines) {
-        // Only after the record says so, durably: a late copy of the request must not hit a
-        // machine that has work again.
-        if (machine.retired && !retiring_.contains(id) && membership_.active(machine.part) &&
-            names.size() < maxReleaseAtOnce && releasing_.insert(id).second)
-            names.push_back(id);
-    }
+    for (const auto part : membership_.activeParts())
+        for (const auto* machine : ledger->machinesOf(part)) {
+            // Only after the record says so, durably: a late copy of the request must not hit a
+            // machine that has work again.
+            if (machine->retired && !retiring_.contains(machine->id) &&
+                names.size() < maxReleaseAtOnce && releasing_.insert(machine->id).second)
+                names.push_back(machine->id);
+        }
     if (names.empty()) return;
     context_.cloud.release(names, [this, names](bool gone) {
         for (const auto& id : names) {
@@ -419,6 +450,8 @@
 void Fleet::forgetMachine(std::uint32_t part, const std::string& id) {
     auto ledger = context_.ledger.lock();
     const Machine* machine = ledger->machine(id);
+    if (machine != nullptr && machine->version == 0 && !recording_.contains(id))
+        return ledger->dropMachine(id);
     // While a claim on it is being written, its end can't be recorded.
     if (machine == nullptr || !machine->claims.empty() || !dropping_.insert(id).second) return;
     committer_.commit(part,
@@ -456,7 +489,9 @@
         for (const auto& type : context_.catalog) {
             if (!Placement::typeAllowed(spec, type, spec.zone.value_or(""), false)) continue;
             seen.types.insert(type.name);
-            inTime = inTime || type.bootTime + Seconds(spec.imageSize / type.fetchRate) < *slack;
+            inTime = inTime || type.bootTime * slowBoot + Seconds(spec.imageSize / type.fetchRate) +
+                                       context_.settings.report * 2 <
+                                   *slack;
         }
         if (!inTime) ++seen.pressed;
     }
@@ -466,7 +501,28 @@
     }
 }
 
+void Fleet::noteGuaranteed(const Ledger& ledger) {
+    guaranteed_ = {};
+    for (const auto& team : context_.settings.teams) {
+        guaranteed_.cpus += team.cpus;
+        guaranteed_.gpus += team.gpus;
+    }
+    upGpus_ = upCpus_ = 0;
+    if (guaranteed_.cpus <= 0 && guaranteed_.gpus <= 0) return;
+    for (const auto& [id, machine] : ledger.machines) {
+        const auto* type = context_.type(machine.type);
+        if (machine.retired || machine.version == 0 || type == nullptr) continue;
+        upGpus_ += type->capacity.gpus;
+        if (type->capacity.gpus <= 0) upCpus_ += type->capacity.cpus;
+    }
+}
+
 bool Fleet::standsReady(const Machine& machine) const {
+    // What a team is guaranteed is kept at hand: it need not wait for others, nor for a boot.
+    if (const auto* type = context_.type(machine.type);
+        type != nullptr && (type->capacity.gpus > 0 ? upGpus_ <= guaranteed_.gpus
+                                                    : upCpus_ <= guaranteed_.cpus))
+        return true;
     return std::any_of(standing_.begin(), standing_.end(), [&](const auto& entry) {
         return entry.second.types.contains(machine.type) &&
                context_.now() - entry.second.lastSeen < classMemory;
@@ -476,9 +532,9 @@
 bool Fleet::mayEmpty(std::uint32_t part) {
     if (placement_.queueLength(part) > 0) return false;
     auto ledger = context_.ledger.lock();
-    return std::none_of(ledger->machines.begin(), ledger->machines.end(), [&](const auto& m) {
-        return m.second.part == part && standsReady(m.second);
-    });
+    const auto& machines = ledger->machinesOf(part);
+    return std::none_of(machines.begin(), machines.end(),
+                        [&](const Machine* machine) { return standsReady(*machine); });
 }
 
 Duration Fleet::idleLimit(const Machine& machine, const MachineType& type) const {
@@ -494,27 +550,34 @@
     if (!membership_.leaseStands()) return;
     const auto now = context_.now();
     auto ledger = context_.ledger.lock();
+    noteGuaranteed(*ledger);
     if (part == 0 && ledger->catalog.empty() && !context_.catalog.empty() && !committer_.busy(0))
         recordCatalog();
     noteClasses(*ledger);
     std::size_t live = 0;
     std::size_t silent = 0;
-    for (const auto& [id, machine] : ledger->machines) {
-        if (machine.part != part || machine.retired || !machine.heard) continue;
+    const auto silentLimit =
+        std::max<Duration>(silentRelease, ticks(context_.settings.report * silentReports));
+    for (const auto* machine : ledger->machinesOf(part)) {
+        if (machine->retired || !machine->heard) continue;
         ++live;
-        if (now - *machine.heard > silentRelease) ++silent;
+        if (now - *machine->heard > silentLimit) ++silent;
     }
-    for (auto& [id, machine] : ledger->machines) {
-        if (machine.part != part || machine.retired || machine.version == 0) continue;
+    for (auto* entry : ledger->machinesOf(part)) {
+        Machine& machine = *entry;
         const auto* type = context_.type(machine.type);
-        if (type == nullptr) continue;
+        if (machine.retired || type == nullptr) continue;
+        if (machine.version == 0) {
+            reviewUnrecorded(part, machine, *type);
+            continue;
+        }
         if (!machine.heard) {
             if (machine.claims.empty() &&
                 now - machine.known > ticks(type->bootTime * neverBoots) + bootGrace)
                 retire(machine, "never came up");
         } else if (machine.notBefore - now > 1min) {
             retire(machine, "faulty");
-        } else if (now - *machine.heard > silentRelease) {
+        } else if (now - *machine.heard > silentLimit) {
             // Many at once are behind a cut rather than dead.
             if (silent * 2 <= live || silent == 1) retire(machine, "silent");
         } else if (machine.emptying && machine.claims.empty()) {
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -20,8 +20,8 @@
     void start();
     // Before the cloud has answered, what was recorded of its machine types serves.
     void adoptCatalog();
-    // A worker reports that nobody has assigned yet.
-    void assignReported(const protocol::WorkerReport& report);
+    // A worker reports that has no record yet, and whose default part is ours.
+    void noteReported(const protocol::WorkerReport& report);
     std::function<void()> onAnswer = [] {};
     void rentFor(std::uint32_t part, const std::vector<Unplaced>& unplaced);
     void onNoCapacity(const protocol::NoCapacity& message);
@@ -48,12 +48,15 @@
     void recordCatalog();
     void listMachines();
     void listPage(const std::string& after, SteadyTime asked,
-                  std::vector<protocol::CloudMachine> sofar);
+                  std::vector<protocol::CloudMachine> sofar, int pages);
     void takeInList(SteadyTime asked, const std::vector<protocol::CloudMachine>& machines);
-    void assign(const std::string& id, const std::string& type, const std::string& zone, bool spot,
-                std::optional<std::uint32_t> part);
-    [[nodiscard]] std::uint32_t partFor(const Ledger& ledger, const std::string& type,
-                                        const std::string& zone) const;
+    Machine* note(const std::string& id, const std::string& type, const std::string& zone,
+                  bool spot, std::uint32_t part);
+    void record(std::uint32_t part, const std::string& id);
+    void recordSome(std::uint32_t part);
+    void reviewUnrecorded(std::uint32_t part, Machine& machine, const MachineType& type);
+    [[nodiscard]] bool wantedByAny(const Ledger& ledger, const Machine& machine,
+                                   const MachineType& type) const;
     void rent(std::uint32_t part, const Kind& kind, int count);
     void sendRental(std::uint32_t part, const Kind& kind, int count, const std::string& name,
                     int tries);
@@ -61,6 +64,7 @@
     [[nodiscard]] bool asking(const Kind& kind) const;
     void retire(Machine& machine, const char* why);
     void release();
+    void noteGuaranteed(const Ledger& ledger);
     [[nodiscard]] bool standsReady(const Machine& machine) const;
     [[nodiscard]] Duration idleLimit(const Machine& machine, const MachineType& type) const;
     void forgetMachine(std::uint32_t part, const std::string& id);
@@ -79,11 +83,16 @@
         std::set<std::string> types;  // worth keeping ready
         SteadyTime lastSeen{};
     };
+    Resources guaranteed_;  // to all teams
+    double upGpus_ = 0;
+    double upCpus_ = 0;  // of machines without GPUs
     std::map<std::string, Standing> standing_;            // by class
     std::map<Kind, Refusal> refused_;                     // no capacity: not before
     std::map<std::uint32_t, std::map<Kind, int>> asked_;  // rentals under way
     std::map<std::string, Found> unassigned_;
-    std::set<std::string> assigning_;
+    std::set<std::string> recording_;                             // queued or under way
+    std::map<std::uint32_t, std::deque<std::string>> toRecord_;   // by part
+    std::set<std::uint32_t> recordsUnderWay_;
     std::set<std::string> retiring_;
     std::set<std::string> releasing_;
     std::set<std::string> dropping_;
--- a/src/coordination/mirror.cpp
+++ b/src/coordination/mirror.cpp
@@ -77,7 +77,7 @@
             }
             bookkeeping::applyEvent(*ledger, {item.key, item.value, item.version}, now);
         }
-        ledger->rebuildClaims();
+        ledger->rebuildIndexes();
         ledger->applied = firstRevision_;
         spdlog::info("mirror: read {} records, {} jobs, {} machines, revision {}", items_.size(),
                      ledger->jobs.size(), ledger->machines.size(), firstRevision_);
--- a/src/coordination/moves.cpp
+++ b/src/coordination/moves.cpp
@@ -41,8 +41,8 @@
     double running = 0;
     {
         auto ledger = context_.ledger.lock();
-        for (const auto& [id, machine] : ledger->machines)
-            if (machine.part == part) running += static_cast<double>(machine.claims.size());
+        for (const auto* machine : ledger->machinesOf(part))
+            running += static_cast<double>(machine->claims.size());
     }
     QueueWatch::Tuning tuning;
     tuning.weight = context_.tuning.weight;
@@ -56,11 +56,11 @@
     const double most = job.spec.imageSize;
     if (most <= 0) return 1;
     auto ledger = context_.ledger.lock();
+    const auto& machines = ledger->machinesOf(part);
     const bool cached =
-        std::any_of(ledger->machines.begin(), ledger->machines.end(), [&](const auto& entry) {
-            const Machine& machine = entry.second;
-            return machine.part == part && placement_.takesWork(machine) &&
-                   std::any_of(machine.images.begin(), machine.images.end(),
+        std::any_of(machines.begin(), machines.end(), [&](const Machine* machine) {
+            return placement_.takesWork(*machine) &&
+                   std::any_of(machine->images.begin(), machine->images.end(),
                                [&](const auto& i) { return i.name == job.spec.image; });
         });
     const double local = cached ? most : 0;
@@ -294,8 +294,8 @@
         const auto room = static_cast<int>(
             placement_.roomFor(job, part, job.spec.tasks + static_cast<std::uint32_t>(queue)));
         double running = 1;
-        for (const auto& [id, machine] : ledger->machines)
-            if (machine.part == part) running += static_cast<double>(machine.claims.size());
+        for (const auto* machine : ledger->machinesOf(part))
+            running += static_cast<double>(machine->claims.size());
         const std::tuple score{placement_.everFits(job, part) ? 1 : 0,
                                std::clamp(room - queue, 0, static_cast<int>(job.spec.tasks)),
                                -queue / running};
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -58,7 +58,7 @@
 
 bool Placement::takesWork(const Machine& machine) const {
     const auto now = context_.now();
-    return !machine.retired && !machine.emptying && !machine.noticeEnds && machine.heard &&
+    return machine.version != 0 && !machine.retired && !machine.emptying && !machine.noticeEnds && machine.heard &&
            now - *machine.heard < ticks(context_.settings.report * silentReports) &&
            now >= machine.notBefore;
 }
@@ -209,13 +209,12 @@
                            const std::map<std::string, std::uint32_t>& zoneUse) {
     Machine* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
-    for (auto& [id, machine] : ledger.machines) {
-        if (machine.part != part || !takesWork(machine) || !allowed(job, machine, zoneUse))
-            continue;
-        const double value = cost(ledger, job, machine, *context_.type(machine.type));
+    for (auto* machine : ledger.machinesOf(part)) {
+        if (!takesWork(*machine) || !allowed(job, *machine, zoneUse)) continue;
+        const double value = cost(ledger, job, *machine, *context_.type(machine->type));
         if (value < bestCost) {
             bestCost = value;
-            best = &machine;
+            best = machine;
         }
     }
     return best;
@@ -268,8 +267,7 @@
     std::vector<std::string> zones{std::string()};
     if (job.spec.oneZone) {
         std::set<std::string> found;
-        for (const auto& [id, machine] : ledger.machines)
-            if (machine.part == part) found.insert(machine.zone);
+        for (const auto* machine : ledger.machinesOf(part)) found.insert(machine->zone);
         zones.clear();
         for (const auto& zone : found) zones.push_back(zone);
     }
@@ -340,11 +338,10 @@
     Machine* best = nullptr;
     std::vector<Victim> bestVictims;
     double bestLoss = std::numeric_limits<double>::max();
-    for (auto& [id, machine] : ledger.machines) {
+    for (auto* entry : ledger.machinesOf(part)) {
+        Machine& machine = *entry;
         const auto* type = context_.type(machine.type);
-        if (machine.part != part || !takesWork(machine) || type == nullptr ||
-            now < machine.reservedUntil)
-            continue;
+        if (!takesWork(machine) || type == nullptr || now < machine.reservedUntil) continue;
         // What would be allowed on it, were it empty.
         Machine empty = machine;
         empty.used = {};
@@ -400,12 +397,13 @@
                                             const std::vector<Unplaced>& unplaced) {
     std::set<std::string> machines;
     auto ledger = context_.ledger.lock();
+    const auto& machinesHere = ledger->machinesOf(part);
     for (const auto& entry : unplaced) {
         const Job* job = ledger->job(entry.job);
         if (job == nullptr || entry.overShare || !atRisk(*job)) continue;
         const bool reserved =
-            std::any_of(ledger->machines.begin(), ledger->machines.end(), [&](const auto& m) {
-                return m.second.reservedFor == entry.job && context_.now() < m.second.reservedUntil;
+            std::any_of(machinesHere.begin(), machinesHere.end(), [&](const Machine* m) {
+                return m->reservedFor == entry.job && context_.now() < m->reservedUntil;
             });
         if (reserved) continue;
         for (std::uint32_t i = 0; i < std::min(entry.tasks, mostPreempted); ++i)
@@ -429,15 +427,13 @@
         longestLeft =
             std::max(longestLeft, Seconds(job->spec.estimate - Seconds(now - *claim->ran)).count());
         bool fits = false;
-        for (const auto& [id, other] : ledger.machines) {
+        for (const auto* other : ledger.machinesOf(machine.part)) {
             // Into machines in use only: an empty one might be the next to go.
-            if (other.part != machine.part || id == machine.id || other.claims.empty() ||
-                !takesWork(other))
-                continue;
-            Machine after = other;
-            after.used += taken[id];
+            if (other == &machine || other->claims.empty() || !takesWork(*other)) continue;
+            Machine after = *other;
+            after.used += taken[other->id];
             if (!allowed(*job, after, {})) continue;
-            taken[id] += job->spec.each;
+            taken[other->id] += job->spec.each;
             fits = true;
             break;
         }
@@ -452,8 +448,8 @@
     Machine* best = nullptr;
     std::vector<Claim*> bestClaims;
     double bestWaste = 0;
-    for (auto& [id, machine] : ledger->machines) {
-        if (machine.part != part) continue;
+    for (auto* entry : ledger->machinesOf(part)) {
+        Machine& machine = *entry;
         if (machine.emptying && !machine.claims.empty()) return std::nullopt;  // one at a time
         const auto* type = context_.type(machine.type);
         if (type == nullptr || machine.claims.empty() || !takesWork(machine)) continue;
@@ -480,12 +476,13 @@
     std::uint32_t room = 0;
     // Of a peer's machines only the records are known, not whether they report.
     const bool own = membership_.active(part);
-    for (const auto& [id, machine] : ledger->machines) {
-        if (machine.part != part || machine.retired || (own && !takesWork(machine))) continue;
-        const auto* type = context_.type(machine.type);
-        if (type == nullptr || !typeAllowed(job.spec, *type, machine.zone, machine.spot)) continue;
+    for (const auto* machine : ledger->machinesOf(part)) {
+        if (machine->retired || (own && !takesWork(*machine))) continue;
+        const auto* type = context_.type(machine->type);
+        if (type == nullptr || !typeAllowed(job.spec, *type, machine->zone, machine->spot))
+            continue;
         Resources free = type->capacity;
-        free -= machine.used;
+        free -= machine->used;
         while (room < most && job.spec.each.fits(free)) {
             free -= job.spec.each;
             ++room;
@@ -496,11 +493,11 @@
 
 bool Placement::everFits(const Job& job, std::uint32_t part) {
     auto ledger = context_.ledger.lock();
-    return std::any_of(ledger->machines.begin(), ledger->machines.end(), [&](const auto& entry) {
-        const Machine& machine = entry.second;
-        const auto* type = context_.type(machine.type);
-        return machine.part == part && !machine.retired && type != nullptr &&
-               typeAllowed(job.spec, *type, machine.zone, machine.spot);
+    const auto& machines = ledger->machinesOf(part);
+    return std::any_of(machines.begin(), machines.end(), [&](const Machine* machine) {
+        const auto* type = context_.type(machine->type);
+        return !machine->retired && type != nullptr &&
+               typeAllowed(job.spec, *type, machine->zone, machine->spot);
     });
 }
 
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -41,17 +41,16 @@
     auto ledger = context_.ledger.lock();
     Machine* machine = ledger->machine(report.machine);
     if (machine == nullptr) {
-        const auto& first = ledger->parts[0];
-        if (membership_.active(0)) {
+        const auto number = context_.defaultPart(report.zone, report.machine);
+        const auto& owner = ledger->parts[number].owner;
+        if (membership_.active(number)) {
             onUnassigned(report);
             return {503, {}};
         }
-        return ledger->nodes.contains(first.owner) && first.owner != context_.settings.name
-                   ? misdirected(first.owner)
+        return ledger->nodes.contains(owner) && owner != context_.settings.name
+                   ? misdirected(owner)
                    : ReportAnswer{503, {}};
     }
-    // Its part is being decided: another node may win.
-    if (machine->version == 0) return {503, {}};
     const auto& part = ledger->parts[machine->part];
     if (part.owner != context_.settings.name)
         return ledger->nodes.contains(part.owner) ? misdirected(part.owner) : ReportAnswer{503, {}};
@@ -265,12 +264,11 @@
 void Reports::onPartActive(std::uint32_t part) {
     const auto now = context_.now();
     auto ledger = context_.ledger.lock();
-    for (auto& [id, machine] : ledger->machines) {
-        if (machine.part != part) continue;
-        machine.heard.reset();
-        machine.session = machine.sequence = 0;
-        machine.noticeEnds.reset();
-        machine.silentSince = machine.known = machine.idleSince =
+    for (auto* machine : ledger->machinesOf(part)) {
+        machine->heard.reset();
+        machine->session = machine->sequence = 0;
+        machine->noticeEnds.reset();
+        machine->silentSince = machine->known = machine->idleSince =
             now + Membership::confirmationLasts;
     }
     for (auto& [id, job] : ledger->jobs)
@@ -341,12 +339,11 @@
     const auto now = context_.now();
     const auto lease = ticks(context_.settings.lease * leaseDrift) + leaseMargin;
     auto ledger = context_.ledger.lock();
-    for (auto& [id, machine] : ledger->machines) {
+    for (auto* machine : ledger->machinesOf(part)) {
         // `silentSince` is the last moment at which anybody entitled could have renewed its lease.
-        if (machine.part != part || machine.claims.empty() || now - machine.silentSince <= lease)
-            continue;
-        releaseClaims(machine, "its lease has run out");
-        machine.endedSession = machine.session;
+        if (machine->claims.empty() || now - machine->silentSince <= lease) continue;
+        releaseClaims(*machine, "its lease has run out");
+        machine->endedSession = machine->session;
     }
     // A machine's record goes only after proof that the machine is gone; an owner that ended
     // between that and recording the end of its claims leaves them without a machine.
