The pace towards the state service adjusts itself; records wait instead of being refused

Shares were even and fixed while load is not.

Now each node's pace starts at the even share, grows while calls wait and shrinks on a 429, which is repeated first; submissions go before records.

--- a/src/coordination/context.h
+++ b/src/coordination/context.h
@@ -93,8 +93,7 @@
 
     [[nodiscard]] protocol::StateLimits stateShare() const {
         const auto count = static_cast<double>(nodes.size());
-        return {settings.stateRequests * shareOfLimits / count,
-                settings.stateWrites * shareOfLimits / count};
+        return {settings.stateRequests, settings.stateWrites, count};
     }
 };
 
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -118,7 +118,7 @@
     // Also if this is carried out late it can't revive a job: its end is a record as well.
     context_.state.transact(
         {{{key, 0}, {bookkeeping::keys::final(spec.id), 0}}, {{key, value, 0}}},
-        protocol::Urgency::write,
+        protocol::Urgency::intake,
         [this, id = spec.id, key, value, known, reply](const protocol::TransactionAnswer& answer) {
             if (answer.result == StateResult::refused) return known();
             if (answer.result != StateResult::ok) return reply(later());
@@ -301,7 +301,7 @@
             transaction = {{{key, job->version}}, {{key, value, 0}}};
         }
         context_.state.transact(
-            std::move(transaction), protocol::Urgency::write,
+            std::move(transaction), protocol::Urgency::intake,
             [this, id, key, value, tries, reply](const protocol::TransactionAnswer& answer) {
                 if (answer.result == StateResult::refused && tries + 1 < maxTries)
                     return tryCancel(id, tries + 1, reply);
--- a/src/protocol/state_client.cpp
+++ b/src/protocol/state_client.cpp
@@ -1,6 +1,6 @@
 #include "protocol/state_client.h"
 
-#include <algorithm>
+#include <memory>
 
 #include "protocol/names.h"
 
@@ -16,6 +16,9 @@
 // What waits longer than this is refused here: its caller decides anew.
 constexpr auto longestWait = 1500ms;
 constexpr std::size_t rangePage = 200;
+constexpr double calmBeforeGrowth = 1;   // seconds without a refusal
+constexpr double growthPerSecond = 0.2;  // of the even share
+constexpr double shrink = 0.8;
 constexpr int failuresUntilLost = 2;
 
 StateResult plainResult(const std::optional<transport::HttpResponse>& response) {
@@ -47,16 +50,33 @@
 
 }  // namespace
 
+void Pace::fill(double seconds, bool waiting) {
+    calmFor_ += seconds;
+    if (waiting && calmFor_ > calmBeforeGrowth)
+        rate_ = std::min(most_, rate_ + even_ * growthPerSecond * seconds);
+    else if (!waiting && rate_ > even_)
+        rate_ = std::max(even_, rate_ - even_ * growthPerSecond * seconds);
+    tokens_ = std::min(tokens_ + seconds * rate_, std::max(1.0, rate_));
+}
+
+void Pace::refused() {
+    calmFor_ = 0;
+    rate_ = std::max(least_, rate_ * shrink);
+    tokens_ = std::min(tokens_, 0.0);
+}
+
 StateClient::StateClient(transport::Timers& timers, transport::Network& network,
                          std::string address, StateLimits limits)
     : timers_(timers),
       network_(network),
       address_(std::move(address)),
-      limits_(limits),
-      requestTokens_(limits.requestsPerSecond / 2),
-      writeTokens_(limits.writesPerSecond / 2),
+      requests_(limits.requestsPerSecond, limits.nodes),
+      writes_(limits.writesPerSecond, limits.nodes),
       filled_(timers.now()),
-      lastContact_(timers.now()) {}
+      lastContact_(timers.now()) {
+    requests_.fill(1, false);
+    writes_.fill(1, false);
+}
 
 std::size_t StateClient::waiting() const {
     std::size_t total = 0;
@@ -66,6 +86,7 @@
 
 void StateClient::enqueue(Urgency urgency, Call call) {
     call.queued = timers_.now();
+    call.urgency = urgency;
     queues_[static_cast<std::size_t>(urgency)].push_back(std::move(call));
     if (!pumping_) pump();
 }
@@ -75,45 +96,55 @@
     const auto now = timers_.now();
     const double seconds = std::chrono::duration<double>(now - filled_).count();
     filled_ = now;
-    requestTokens_ =
-        std::min(requestTokens_ + seconds * limits_.requestsPerSecond, limits_.requestsPerSecond);
-    writeTokens_ =
-        std::min(writeTokens_ + seconds * limits_.writesPerSecond, limits_.writesPerSecond);
-    for (std::size_t i = 0; i < queues_.size(); ++i) {
-        const bool lease = i == static_cast<std::size_t>(Urgency::lease);
-        auto& queue = queues_[i];
+    const bool waiting = this->waiting() > 0;
+    requests_.fill(seconds, waiting);
+    writes_.fill(seconds, waiting);
+    for (auto& queue : queues_) {
         while (!queue.empty()) {
             Call& call = queue.front();
-            const bool enough = requestTokens_ >= 1 &&
-                                (call.writes == 0 ||
-                                 writeTokens_ >= std::min(call.writes, limits_.writesPerSecond));
-            if (!enough && !lease) {
-                if (now - call.queued < longestWait) break;
+            // A submission is one small write: it goes on credit rather than behind the records.
+            const bool paced = call.writes > 0 && call.urgency != Urgency::intake;
+            if (call.urgency != Urgency::lease &&
+                (!requests_.allows(1) || (paced && !writes_.allows(call.writes)))) {
+                // What a part's owner records has to be carried out sooner or later: refused here
+                // it went to the end of the line again and again, and hardly anything was written.
+                if (call.urgency == Urgency::write || now - call.queued < longestWait) break;
                 // Never sent, so definitely not carried out.
                 Call late = std::move(call);
                 queue.pop_front();
                 late.done(transport::HttpResponse{503, {}, 0});
                 continue;
             }
-            requestTokens_ -= 1;
-            writeTokens_ -= call.writes;
+            requests_.take(1);
+            writes_.take(call.writes);
             Call ready = std::move(call);
             queue.pop_front();
             send(std::move(ready));
         }
     }
     pumping_ = false;
-    if (waiting() > 0) {
-        pumping_ = true;
-        timers_.after(pumpPeriod, [this] { pump(); });
-    }
+    if (this->waiting() > 0) pumpLater();
+}
+
+void StateClient::pumpLater() {
+    if (pumping_) return;
+    pumping_ = true;
+    timers_.after(pumpPeriod, [this] { pump(); });
 }
 
 void StateClient::send(Call call) {
-    network_.call(address_, std::move(call.request), call.timeout,
-                  [this, done = std::move(call.done)](std::optional<transport::HttpResponse> r) {
+    auto again = std::make_shared<Call>(std::move(call));
+    network_.call(address_, again->request, again->timeout,
+                  [this, again](std::optional<transport::HttpResponse> r) {
                       noteAnswer(r);
-                      done(std::move(r));
+                      if (r && r->status == 429) {
+                          // Not carried out: it goes first as soon as it may.
+                          (again->writes > 0 ? writes_ : requests_).refused();
+                          queues_[static_cast<std::size_t>(again->urgency)].push_front(
+                              std::move(*again));
+                          return pumpLater();
+                      }
+                      again->done(std::move(r));
                   });
 }
 
@@ -218,7 +249,7 @@
     std::string path = std::string(wire::pathFollow) + "?" + wire::queryPrefix + "=" + prefix +
                        "&" + wire::querySince + "=" + std::to_string(since) + "&" +
                        wire::queryWait + "=" + std::to_string(millis.count());
-    enqueue(Urgency::write,
+    enqueue(Urgency::read,
             {{"GET", std::move(path), {}},
              wait + requestTimeout,
              0,
--- a/src/protocol/state_client.h
+++ b/src/protocol/state_client.h
@@ -1,8 +1,11 @@
-// Client of the state service. Paces itself to this node's share of the service's limits, with
-// lease renewals first, and keeps an answer apart from no answer: a request without one may have
-// been carried out, or may yet be.
+// Client of the state service. Paces itself, with lease renewals first, and keeps an answer apart
+// from no answer: a request without one may have been carried out, or may yet be.
+//
+// Load is uneven between nodes, so what one may send adjusts itself: it begins at an even share of
+// the service's limits, grows while calls wait, and shrinks when the service says 429.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <map>
@@ -70,11 +73,41 @@
     std::uint64_t revision = 0;
 };
 
-enum class Urgency { lease, write, read };
+// In this order. Users wait for `intake`; `write` is what the owner of a part records.
+enum class Urgency { lease, intake, write, read };
 
 struct StateLimits {
-    double requestsPerSecond = 20;  // this node's share
-    double writesPerSecond = 10;
+    double requestsPerSecond = 60;  // of the service, for all nodes
+    double writesPerSecond = 20;
+    double nodes = 1;
+};
+
+// How fast one kind of call may be sent.
+class Pace {
+  public:
+    Pace(double limit, double nodes)
+        : least_(limit / nodes / 2),
+          even_(limit / nodes * shareOfLimit),
+          most_(limit * mostOfLimit),
+          rate_(even_) {}
+
+    void fill(double seconds, bool waiting);
+    // A call larger than what gathers in a second is sent on credit.
+    [[nodiscard]] bool allows(double amount) const { return tokens_ >= std::min(amount, rate_); }
+    void take(double amount) { tokens_ -= amount; }
+    void refused();
+    [[nodiscard]] double rate() const { return rate_; }
+
+  private:
+    static constexpr double shareOfLimit = 0.92;
+    static constexpr double mostOfLimit = 0.6;
+
+    double least_;
+    double even_;
+    double most_;
+    double rate_;
+    double tokens_ = 0;
+    double calmFor_ = 0;  // seconds since the last refusal
 };
 
 class StateClient {
@@ -105,20 +138,21 @@
         double writes = 0;
         transport::SteadyTime queued{};
         transport::HttpDone done;
+        Urgency urgency = Urgency::read;
     };
 
     void enqueue(Urgency urgency, Call call);
     void pump();
+    void pumpLater();
     void send(Call call);
     void noteAnswer(const std::optional<transport::HttpResponse>& response);
 
     transport::Timers& timers_;
     transport::Network& network_;
     std::string address_;
-    StateLimits limits_;
-    std::array<std::deque<Call>, 3> queues_;
-    double requestTokens_;
-    double writeTokens_;
+    std::array<std::deque<Call>, 4> queues_;
+    Pace requests_;
+    Pace writes_;
     transport::SteadyTime filled_;
     transport::SteadyTime lastContact_;
     bool reachable_ = false;
