--- a/src/protocol/state_client.cpp
+++ b/src/protocol/state_client.cpp
@@ -19,6 +19,8 @@
 constexpr double calmBeforeGrowth = 1;   // seconds without a refusal
 constexpr double growthPerSecond = 0.2;  // of the even share
 constexpr double shrink = 0.8;
+constexpr double pauseAfterRefusal = 0.2;  // seconds
+constexpr auto leasePause = 100ms;         // calls that need no share wait this long after a 429
 constexpr int failuresUntilLost = 2;
 
 StateResult plainResult(const std::optional<transport::HttpResponse>& response) {
@@ -62,7 +64,7 @@
 void Pace::refused() {
     calmFor_ = 0;
     rate_ = std::max(least_, rate_ * shrink);
-    tokens_ = std::min(tokens_, 0.0);
+    tokens_ = std::min(tokens_, -rate_ * pauseAfterRefusal);
 }
 
 StateClient::StateClient(transport::Timers& timers, transport::Network& network,
@@ -102,6 +104,7 @@
     for (auto& queue : queues_) {
         while (!queue.empty()) {
             Call& call = queue.front();
+            if (now < urgentNotBefore_ && call.urgency <= Urgency::intake) break;
             // A submission is one small write: it goes on credit rather than behind the records.
             const bool paced = call.writes > 0 && call.urgency != Urgency::intake;
             if (call.urgency != Urgency::lease &&
@@ -138,7 +141,9 @@
                   [this, again](std::optional<transport::HttpResponse> r) {
                       noteAnswer(r);
                       if (r && r->status == 429) {
-                          // Not carried out: it goes first as soon as it may.
+                          // Not carried out: it goes first as soon as it may. Sent again at once,
+                          // the takings of parts at the start used up what the service allows.
+                          urgentNotBefore_ = timers_.now() + leasePause;
                           (again->writes > 0 ? writes_ : requests_).refused();
                           queues_[static_cast<std::size_t>(again->urgency)].push_front(
                               std::move(*again));
--- a/src/protocol/state_client.h
+++ b/src/protocol/state_client.h
@@ -154,6 +154,7 @@
     Pace requests_;
     Pace writes_;
     transport::SteadyTime filled_;
+    transport::SteadyTime urgentNotBefore_{};
     transport::SteadyTime lastContact_;
     bool reachable_ = false;
     int failures_ = 0;
