A waiting gang gathers machines in one zone and rents what it lacks there

Now a gang that can't start keeps room in one zone, in the queue's order, rents what it lacks there, and is offered only where all of it fits.

--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -66,6 +66,8 @@
     SteadyTime notBefore{};  // backing off
     int failures = 0;
     std::set<std::string> failedOn;
+    std::string gatherZone;  // where a waiting gang that must stay in one zone gathers machines
+    SteadyTime gatherSince{};
 
     [[nodiscard]] bool complete() const;
     [[nodiscard]] bool anyClaim() const;
@@ -114,7 +116,9 @@
     std::optional<SteadyTime> listed;      // seen in a list, at its receipt
     bool failedInList = false;
     bool emptying = false;    // its tasks move together with others, then it is given back
-    std::string reservedFor;  // job that others were stopped for
+    std::string reservedFor;  // job that room is kept for: others were stopped, or it is a gang
+    std::uint32_t reservedTasks = 0;
+    Resources reservedRoom;
     SteadyTime reservedUntil{};
     int errors = 0;                  // in a row
     std::deque<CachedImage> images;  // most recently used first
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -265,24 +265,21 @@
     }
 }
 
-std::optional<Fleet::Kind> Fleet::cheapest(const Job& job, std::uint32_t tasks) const {
+std::optional<Fleet::Kind> Fleet::cheapest(const Job& job, std::uint32_t tasks,
+                                           const std::string& inZone) const {
     std::optional<Kind> best;
     double bestPrice = 0;
     const auto now = context_.now();
     for (const auto& type : context_.catalog) {
         for (const auto& zone : type.zones) {
+            if (!inZone.empty() && zone != inZone) continue;
             for (const bool spot : {true, false}) {
                 if (spot && !context_.tuning.useSpot) continue;
                 if (!Placement::typeAllowed(job.spec, type, zone, spot)) continue;
                 const Kind kind{type.name, zone, spot};
                 const auto refused = refused_.find(kind);
                 if (refused != refused_.end() && now < refused->second.until) continue;
-                Resources room = type.capacity;
-                double fit = 0;
-                while (fit < tasks && job.spec.each.fits(room)) {
-                    room -= job.spec.each;
-                    ++fit;
-                }
+                const double fit = Placement::fitsIn(job, type.capacity, tasks);
                 double price = (spot ? type.spotPrice : type.price) / std::max(1.0, fit);
                 // Near the part's own node, so that a cut between zones parts fewer of them.
                 if (zone != context_.settings.zone) price *= 1.02;
@@ -321,6 +318,10 @@
     for (const auto& entry : unplaced) {
         const Job* job = ledger->job(entry.job);
         if (job == nullptr || entry.overShare) continue;
+        if (entry.gang) {
+            rentForGang(part, entry, *job);
+            continue;
+        }
         for (std::uint32_t left = entry.tasks; left > 0; --left) {
             const auto fits = std::find_if(coming.begin(), coming.end(), [&](const Coming& c) {
                 return Placement::typeAllowed(job->spec, *context_.type(c.kind.type), c.kind.zone,
@@ -331,7 +332,7 @@
                 fits->room -= job->spec.each;
                 continue;
             }
-            const auto kind = cheapest(*job, left);
+            const auto kind = cheapest(*job, left, {});
             // The answer to the last call tells whether there are more of this kind.
             if (!kind || asking(*kind) || wanted[*kind] >= maxRentAtOnce) break;
             ++wanted[*kind];
@@ -340,31 +341,55 @@
         }
     }
     for (const auto& [kind, count] : wanted)
-        if (count > 0) rent(part, kind, count);
+        if (count > 0) rent(part, kind, count, {});
+}
+
+void Fleet::rentForGang(std::uint32_t part, const Unplaced& entry, const Job& job) {
+    // What it lacks, in the zone where it gathers, and kept for it from the start: machines rented
+    // task by task lay in several zones and went to other work as they came up.
+    if (entry.tasks == 0 || rentingFor_.contains(entry.job)) return;
+    const auto kind = cheapest(job, entry.tasks, entry.zone);
+    if (!kind || asking(*kind)) return;
+    const auto each = Placement::fitsIn(job, context_.type(kind->type)->capacity, entry.tasks);
+    rent(part, *kind, std::min(maxRentAtOnce, static_cast<int>((entry.tasks + each - 1) / each)),
+         entry.job);
 }
 
-void Fleet::rent(std::uint32_t part, const Kind& kind, int count) {
+void Fleet::rent(std::uint32_t part, const Kind& kind, int count, const std::string& gang) {
+    if (!gang.empty()) rentingFor_.insert(gang);
     asked_[part][kind] += count;
     // Terms are given out once and the number grows, so no name is ever used again.
     const auto name = "r-" + context_.settings.name + "-" + std::to_string(membership_.term(part)) +
                       "-" + std::to_string(++rentals_);
     spdlog::debug("rental {}: {} {} in {}{}", name, count, kind.type, kind.zone,
                   kind.spot ? ", spot" : "");
-    sendRental(part, kind, count, name, rentalTries);
+    sendRental(part, kind, count, name, gang, rentalTries);
 }
 
 void Fleet::sendRental(std::uint32_t part, const Kind& kind, int count, const std::string& name,
-                       int tries) {
+                       const std::string& gang, int tries) {
     context_.cloud.rent(name, kind.type, kind.zone, kind.spot, count,
-                        [this, part, kind, count, name, tries](
+                        [this, part, kind, count, name, gang, tries](
                             protocol::RentResult result, const std::vector<std::string>& machines) {
                             if (result == protocol::RentResult::unknown && tries > 1)
-                                return sendRental(part, kind, count, name, tries - 1);
+                                return sendRental(part, kind, count, name, gang, tries - 1);
+                            rentingFor_.erase(gang);
                             asked_[part][kind] -= count;
                             onAnswer();
-                            for (const auto& id : machines)
-                                if (note(id, kind.type, kind.zone, kind.spot, part) != nullptr)
-                                    record(part, id);
+                            auto ledger = context_.ledger.lock();
+                            const Job* job = ledger->job(gang);
+                            const auto* type = context_.type(kind.type);
+                            for (const auto& id : machines) {
+                                Machine* machine =
+                                    note(id, kind.type, kind.zone, kind.spot, part);
+                                if (machine == nullptr) continue;
+                                if (job != nullptr && type != nullptr)
+                                    placement_.reserve(
+                                        *machine, *job,
+                                        Placement::fitsIn(*job, type->capacity, job->spec.tasks),
+                                        ticks(type->bootTime * lateBoot) + bootGrace);
+                                record(part, id);
+                            }
                             if (static_cast<int>(machines.size()) < count)
                                 noteRefusal(kind);
                             else
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -57,9 +57,10 @@
     void reviewUnrecorded(std::uint32_t part, Machine& machine, const MachineType& type);
     [[nodiscard]] bool wantedByAny(const Ledger& ledger, const Machine& machine,
                                    const MachineType& type) const;
-    void rent(std::uint32_t part, const Kind& kind, int count);
+    void rentForGang(std::uint32_t part, const Unplaced& entry, const Job& job);
+    void rent(std::uint32_t part, const Kind& kind, int count, const std::string& gang);
     void sendRental(std::uint32_t part, const Kind& kind, int count, const std::string& name,
-                    int tries);
+                    const std::string& gang, int tries);
     void noteRefusal(const Kind& kind);
     [[nodiscard]] bool asking(const Kind& kind) const;
     void retire(Machine& machine, const char* why);
@@ -68,7 +69,9 @@
     [[nodiscard]] bool standsReady(const Machine& machine) const;
     [[nodiscard]] Duration idleLimit(const Machine& machine, const MachineType& type) const;
     void forgetMachine(std::uint32_t part, const std::string& id);
-    [[nodiscard]] std::optional<Kind> cheapest(const Job& job, std::uint32_t tasks) const;
+    // Of all zones if none is named.
+    [[nodiscard]] std::optional<Kind> cheapest(const Job& job, std::uint32_t tasks,
+                                               const std::string& inZone) const;
 
     Context& context_;
     Membership& membership_;
@@ -89,6 +92,7 @@
     std::map<std::string, Standing> standing_;            // by class
     std::map<Kind, Refusal> refused_;                     // no capacity: not before
     std::map<std::uint32_t, std::map<Kind, int>> asked_;  // rentals under way
+    std::set<std::string> rentingFor_;                    // gangs
     std::map<std::string, Found> unassigned_;
     std::set<std::string> recording_;                             // queued or under way
     std::map<std::uint32_t, std::deque<std::string>> toRecord_;   // by part
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -25,6 +25,8 @@
 constexpr Seconds riskMargin{10};
 constexpr auto reservation = std::chrono::seconds(20);  // to save, report and be placed
 constexpr double fetchWorth = 5;
+constexpr auto gatherRenewal = std::chrono::seconds(3);
+constexpr auto gatherPatience = std::chrono::seconds(90);  // in one zone
 constexpr std::uint32_t mostPreempted = 4;
 constexpr double emptyMachineSeconds = 4;  // what breaking into an empty machine counts as
 
@@ -157,7 +159,6 @@
     const auto* type = context_.type(machine.type);
     if (type == nullptr || !typeAllowed(job.spec, *type, machine.zone, machine.spot)) return false;
     if (job.failedOn.contains(machine.id)) return false;
-    if (context_.now() < machine.reservedUntil && machine.reservedFor != job.spec.id) return false;
     if (job.spec.oneZone)
         for (const auto& [zone, count] : zoneUse)
             if (count > 0 && zone != machine.zone) return false;
@@ -170,9 +171,111 @@
     }
     Resources room = type->capacity;
     room -= machine.used;
+    if (context_.now() < machine.reservedUntil && machine.reservedFor != job.spec.id)
+        room -= machine.reservedRoom;
     return job.spec.each.fits(room);
 }
 
+std::uint32_t Placement::fitsIn(const Job& job, Resources room, std::uint32_t most) {
+    std::uint32_t count = 0;
+    for (; count < most && job.spec.each.fits(room); ++count) room -= job.spec.each;
+    return count;
+}
+
+void Placement::reserve(Machine& machine, const Job& job, std::uint32_t tasks,
+                        Duration length) const {
+    machine.reservedFor = job.spec.id;
+    machine.reservedTasks = tasks;
+    machine.reservedRoom = {};
+    for (std::uint32_t i = 0; i < tasks; ++i) machine.reservedRoom += job.spec.each;
+    machine.reservedUntil = context_.now() + length;
+}
+
+void Placement::dropReservations(Ledger& ledger, std::uint32_t part) {
+    const auto now = context_.now();
+    for (auto* machine : ledger.machinesOf(part)) {
+        if (now >= machine->reservedUntil) continue;
+        const Job* job = ledger.job(machine->reservedFor);
+        if (job == nullptr || job->cancelled || job->part != part ||
+            (job->spec.kind == JobKind::gang && job->anyClaim()))
+            machine->reservedUntil = now;
+    }
+}
+
+void Placement::chooseZone(Ledger& ledger, std::uint32_t part, Job& job) {
+    const auto now = context_.now();
+    if (!job.spec.oneZone ||
+        (!job.gatherZone.empty() && now - job.gatherSince < gatherPatience))
+        return;
+    // Where most of it could start now; else where the part has most machines for it. A zone that
+    // did not get it together for long gives way to the next best.
+    std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> zones;
+    for (const auto* machine : ledger.machinesOf(part)) {
+        const auto* type = context_.type(machine->type);
+        if (machine->retired || type == nullptr ||
+            !typeAllowed(job.spec, *type, machine->zone, machine->spot))
+            continue;
+        auto& [free, all] = zones[machine->zone];
+        ++all;
+        if ((takesWork(*machine) && allowed(job, *machine, {})) ||
+            (now < machine->reservedUntil && machine->reservedFor == job.spec.id))
+            ++free;
+    }
+    for (const auto& type : context_.catalog)
+        for (const auto& zone : type.zones)
+            if (typeAllowed(job.spec, type, zone, false)) zones.try_emplace(zone);
+    std::string best;
+    std::tuple<std::uint32_t, bool, std::uint32_t> bestScore{};
+    for (const auto& [zone, counts] : zones) {
+        if (zone == job.gatherZone && zones.size() > 1) continue;
+        const std::tuple score{std::min(counts.first, job.spec.tasks),
+                               zone == context_.settings.zone, counts.second};
+        if (best.empty() || score > bestScore) {
+            best = zone;
+            bestScore = score;
+        }
+    }
+    job.gatherZone = best;
+    job.gatherSince = now;
+}
+
+std::uint32_t Placement::gather(Ledger& ledger, std::uint32_t part, Job& job,
+                                std::set<std::string>& blockedZones) {
+    // A gang would wait for ever behind small work that takes each machine as it comes free. In
+    // the queue's order, each keeps what is free until it has enough; one that lacks machines
+    // keeps later ones from gathering in its zone, so that no two hold half of what both need.
+    chooseZone(ledger, part, job);
+    const auto& zone = job.gatherZone;
+    const auto now = context_.now();
+    std::uint32_t held = 0;
+    std::vector<Machine*> busy;
+    if (blockedZones.contains(zone)) return job.spec.tasks;
+    for (const bool reserved : {true, false}) {
+        for (auto* machine : ledger.machinesOf(part)) {
+            if (held >= job.spec.tasks) return 0;
+            if (!zone.empty() && machine->zone != zone) continue;
+            const bool ours = now < machine->reservedUntil && machine->reservedFor == job.spec.id;
+            if (ours != reserved) continue;
+            if (ours) {
+                // Booting ones were reserved for long when they were rented.
+                if (machine->heard && !takesWork(*machine)) continue;
+                if (machine->heard)
+                    reserve(*machine, job, machine->reservedTasks, gatherRenewal);
+                held += machine->reservedTasks;
+            } else if (now >= machine->reservedUntil && takesWork(*machine) &&
+                       allowed(job, *machine, {})) {
+                Resources room = context_.type(machine->type)->capacity;
+                room -= machine->used;
+                reserve(*machine, job, fitsIn(job, room, job.spec.tasks - held), gatherRenewal);
+                held += machine->reservedTasks;
+            }
+        }
+    }
+    if (held >= job.spec.tasks) return 0;
+    blockedZones.insert(zone);
+    return job.spec.tasks - held;
+}
+
 double Placement::cost(const Ledger& ledger, const Job& job, const Machine& machine,
                        const MachineType& type) const {
     double seconds = 0;
@@ -310,6 +413,8 @@
     std::vector<Unplaced> unplaced;
     auto ledger = context_.ledger.lock();
     std::map<std::string, Resources> left;
+    std::set<std::string> blockedZones;
+    dropReservations(*ledger, part);
     for (auto& ready : readyJobs(*ledger, part)) {
         Job& job = *ready.job;
         const auto& team = job.spec.team;
@@ -320,8 +425,13 @@
             placed = placeGang(*ledger, part, job, left[team], overShare) ? ready.tasks : 0;
         else
             placed = placeArray(*ledger, part, job, left[team], overShare);
-        if (placed < ready.tasks)
-            unplaced.push_back({job.spec.id, ready.tasks - placed, overShare});
+        if (placed >= ready.tasks) continue;
+        if (job.spec.kind == JobKind::gang && !overShare) {
+            const auto missing = gather(*ledger, part, job, blockedZones);
+            unplaced.push_back({job.spec.id, missing, false, true, job.gatherZone});
+        } else {
+            unplaced.push_back({job.spec.id, ready.tasks - placed, overShare, false, {}});
+        }
     }
     return unplaced;
 }
@@ -387,8 +497,7 @@
         spdlog::debug("task {}/{}: stopped on {} for job {}", victim.job->spec.id,
                       victim.claim->task, best->id, job.spec.id);
     }
-    best->reservedFor = job.spec.id;
-    best->reservedUntil = now + reservation;
+    reserve(*best, job, 1, reservation);
     machines.insert(best->id);
     return true;
 }
@@ -473,6 +582,7 @@
 
 std::uint32_t Placement::roomFor(const Job& job, std::uint32_t part, std::uint32_t most) {
     auto ledger = context_.ledger.lock();
+    if (job.spec.kind == JobKind::gang) return gangRoom(*ledger, part, job);
     std::uint32_t room = 0;
     // Of a peer's machines only the records are known, not whether they report.
     const bool own = membership_.active(part);
@@ -483,14 +593,33 @@
             continue;
         Resources free = type->capacity;
         free -= machine->used;
-        while (room < most && job.spec.each.fits(free)) {
-            free -= job.spec.each;
-            ++room;
-        }
+        room += fitsIn(job, free, most - room);
     }
     return room;
 }
 
+std::uint32_t Placement::gangRoom(Ledger& ledger, std::uint32_t part, const Job& job) {
+    // All of it or nothing: a part with room for some of its tasks is of no use to it.
+    const bool own = membership_.active(part);
+    std::map<std::string, std::uint32_t> zones;
+    for (const auto* machine : ledger.machinesOf(part)) {
+        const auto* type = context_.type(machine->type);
+        if (machine->retired || (own && !takesWork(*machine)) || type == nullptr ||
+            !typeAllowed(job.spec, *type, machine->zone, machine->spot))
+            continue;
+        Resources free = type->capacity;
+        free -= machine->used;
+        if (context_.now() < machine->reservedUntil && machine->reservedFor != job.spec.id)
+            free -= machine->reservedRoom;
+        zones[job.spec.oneZone ? machine->zone : std::string()] +=
+            fitsIn(job, free, job.spec.tasks);
+    }
+    const bool fits = std::any_of(zones.begin(), zones.end(), [&](const auto& entry) {
+        return entry.second >= job.spec.tasks;
+    });
+    return fits ? job.spec.tasks : 0;
+}
+
 bool Placement::everFits(const Job& job, std::uint32_t part) {
     auto ledger = context_.ledger.lock();
     const auto& machines = ledger->machinesOf(part);
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -10,6 +10,9 @@
     std::string job;
     std::uint32_t tasks = 0;
     bool overShare = false;  // only the team's limit keeps it waiting
+    // A gang: as many machines are missing, and they must be in this zone (empty: in any).
+    bool gang = false;
+    std::string zone;
 };
 
 class Placement {
@@ -33,6 +36,11 @@
     // Whether any machine of the part, were it empty, could run one task of the job.
     [[nodiscard]] bool everFits(const Job& job, std::uint32_t part);
 
+    // Keeps room on a machine for a job.
+    void reserve(Machine& machine, const Job& job, std::uint32_t tasks, Duration length) const;
+    // How many tasks like the job's go into this room, up to `most`.
+    [[nodiscard]] static std::uint32_t fitsIn(const Job& job, Resources room, std::uint32_t most);
+
     [[nodiscard]] static bool typeAllowed(const protocol::JobSpec& spec, const MachineType& type,
                                           const std::string& zone, bool spot);
     [[nodiscard]] bool takesWork(const Machine& machine) const;
@@ -54,6 +62,12 @@
     std::uint32_t placeArray(Ledger& ledger, std::uint32_t part, Job& job, Resources& left,
                              bool& overShare);
     bool placeGang(Ledger& ledger, std::uint32_t part, Job& job, Resources& left, bool& overShare);
+    // Keeps machines for a gang that can't start yet; how many are missing.
+    std::uint32_t gather(Ledger& ledger, std::uint32_t part, Job& job,
+                         std::set<std::string>& blockedZones);
+    void chooseZone(Ledger& ledger, std::uint32_t part, Job& job);
+    void dropReservations(Ledger& ledger, std::uint32_t part);
+    [[nodiscard]] std::uint32_t gangRoom(Ledger& ledger, std::uint32_t part, const Job& job);
     void stopBrokenGang(Job& job);
     bool canEmpty(Ledger& ledger, const Machine& machine, std::vector<Claim*>& claims);
     bool makeRoom(Ledger& ledger, std::uint32_t part, const Job& job,
