--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -33,6 +33,7 @@
 constexpr int maxRentAtOnce = 50;  // what one call may ask for
 constexpr std::size_t maxReleaseAtOnce = 100;
 constexpr int rentalTries = 3;
+constexpr auto useLogPeriod = 20s;
 
 }  // namespace
 
@@ -526,6 +527,33 @@
     }
 }
 
+void Fleet::logUse(const Ledger& ledger, std::uint32_t part) {
+    const auto now = context_.now();
+    if (!spdlog::should_log(spdlog::level::debug) || now - useLogged_[part] < useLogPeriod) return;
+    useLogged_[part] = now;
+    struct Use {
+        int up = 0, booting = 0, idle = 0, kept = 0;
+        Resources used, all;
+    };
+    std::map<std::string, Use> kinds;
+    for (const auto* machine : ledger.machinesOf(part)) {
+        const auto* type = context_.type(machine->type);
+        if (type == nullptr) continue;
+        auto& use = kinds[machine->type + " in " + machine->zone];
+        ++(machine->heard ? use.up : use.booting);
+        if (machine->heard && machine->claims.empty()) ++use.idle;
+        if (now < machine->reservedUntil) ++use.kept;
+        use.used += machine->used;
+        if (machine->heard) use.all += type->capacity;
+    }
+    for (const auto& [kind, use] : kinds)
+        spdlog::debug(
+            "part {}: {}: {} up, {} booting, {} idle, {} kept, CPUs {:.0f} of {:.0f}, GPUs {:.0f} "
+            "of {:.0f}",
+            part, kind, use.up, use.booting, use.idle, use.kept, use.used.cpus, use.all.cpus,
+            use.used.gpus, use.all.gpus);
+}
+
 void Fleet::noteGuaranteed(const Ledger& ledger) {
     guaranteed_ = {};
     for (const auto& team : context_.settings.teams) {
@@ -576,6 +604,7 @@
     const auto now = context_.now();
     auto ledger = context_.ledger.lock();
     noteGuaranteed(*ledger);
+    logUse(*ledger, part);
     if (part == 0 && ledger->catalog.empty() && !context_.catalog.empty() && !committer_.busy(0))
         recordCatalog();
     noteClasses(*ledger);
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -65,6 +65,7 @@
     [[nodiscard]] bool asking(const Kind& kind) const;
     void retire(Machine& machine, const char* why);
     void release();
+    void logUse(const Ledger& ledger, std::uint32_t part);
     void noteGuaranteed(const Ledger& ledger);
     [[nodiscard]] bool standsReady(const Machine& machine) const;
     [[nodiscard]] Duration idleLimit(const Machine& machine, const MachineType& type) const;
@@ -100,6 +101,7 @@
     std::set<std::string> retiring_;
     std::set<std::string> releasing_;
     std::set<std::string> dropping_;
+    std::map<std::uint32_t, SteadyTime> useLogged_;
     std::uint64_t rentals_ = 0;
     bool catalogLoaded_ = false;
 };
