--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -52,6 +52,9 @@
         fleet_.noteReported(report);
     };
     reports_.onChange = [this] { soon(); };
+    placement_.rentable = [this](const Job& job, const std::string& zone) {
+        return fleet_.rentable(job, zone);
+    };
     fleet_.onAnswer = [this] { soon(); };
     intake_.synced = [this] { return mirror_.synced(); };
     intake_.onAccepted = [this] { soon(); };
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -19,6 +19,7 @@
 constexpr double listShareOfCalls = 0.2;
 constexpr auto firstRefusalPause = 8s;
 constexpr auto longestRefusalPause = 40s;
+constexpr auto refusalMemory = 30s;  // after a pause's end: there may be some again
 constexpr double lagMargin = 2.2;  // a list may lag by up to twice the stated time
 constexpr auto listMargin = 1s;
 constexpr auto renterFirst = 10s;   // a new machine's renter records it itself
@@ -398,6 +399,21 @@
                         });
 }
 
+bool Fleet::rentable(const Job& job, const std::string& inZone) const {
+    const auto now = context_.now();
+    for (const auto& type : context_.catalog)
+        for (const auto& zone : type.zones)
+            for (const bool spot : {true, false}) {
+                if ((!inZone.empty() && zone != inZone) || (spot && !context_.tuning.useSpot) ||
+                    !Placement::typeAllowed(job.spec, type, zone, spot))
+                    continue;
+                const auto refused = refused_.find({type.name, zone, spot});
+                if (refused == refused_.end() || now - refused->second.until > refusalMemory)
+                    return true;
+            }
+    return false;
+}
+
 void Fleet::noteRefusal(const Kind& kind) {
     auto& refusal = refused_[kind];
     refusal.pause = std::clamp<Duration>(refusal.pause * 2, firstRefusalPause, longestRefusalPause);
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -24,6 +24,7 @@
     void noteReported(const protocol::WorkerReport& report);
     std::function<void()> onAnswer = [] {};
     void rentFor(std::uint32_t part, const std::vector<Unplaced>& unplaced);
+    [[nodiscard]] bool rentable(const Job& job, const std::string& zone) const;
     void onNoCapacity(const protocol::NoCapacity& message);
     void noteClasses(const Ledger& ledger);
     // Whether it may be worth emptying this part's machines: nothing waits, and those that
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -248,7 +248,6 @@
     const auto& zone = job.gatherZone;
     const auto now = context_.now();
     std::uint32_t held = 0;
-    std::vector<Machine*> busy;
     if (blockedZones.contains(zone)) return job.spec.tasks;
     for (const bool reserved : {true, false}) {
         for (auto* machine : ledger.machinesOf(part)) {
@@ -271,9 +270,40 @@
             }
         }
     }
-    if (held >= job.spec.tasks) return 0;
-    blockedZones.insert(zone);
-    return job.spec.tasks - held;
+    auto missing = job.spec.tasks - held;
+    if (missing > 0 && !rentable(job, zone)) missing -= drainFor(ledger, part, job, missing);
+    if (missing > 0) blockedZones.insert(zone);
+    return missing;
+}
+
+std::uint32_t Placement::drainFor(Ledger& ledger, std::uint32_t part, const Job& job,
+                                  std::uint32_t missing) {
+    struct Busy {
+        double used = 0;
+        Machine* machine = nullptr;
+    };
+    std::vector<Busy> busy;
+    const auto now = context_.now();
+    for (auto* machine : ledger.machinesOf(part)) {
+        const auto* type = context_.type(machine->type);
+        if (type == nullptr || now < machine->reservedUntil || !takesWork(*machine) ||
+            (!job.gatherZone.empty() && machine->zone != job.gatherZone) ||
+            !typeAllowed(job.spec, *type, machine->zone, machine->spot))
+            continue;
+        // Less used ones come free sooner.
+        busy.push_back({machine->used.cpus / std::max(1.0, type->capacity.cpus), machine});
+    }
+    std::sort(busy.begin(), busy.end(), [](const Busy& a, const Busy& b) {
+        return std::tie(a.used, a.machine->id) < std::tie(b.used, b.machine->id);
+    });
+    std::uint32_t kept = 0;
+    for (const auto& entry : busy) {
+        if (kept >= missing) break;
+        const auto fit = fitsIn(job, context_.type(entry.machine->type)->capacity, missing - kept);
+        reserve(*entry.machine, job, fit, gatherRenewal);
+        kept += fit;
+    }
+    return kept;
 }
 
 double Placement::cost(const Ledger& ledger, const Job& job, const Machine& machine,
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -49,6 +49,10 @@
     // Whether it will miss its next aim unless it gets a place about now.
     [[nodiscard]] bool atRisk(const Job& job) const;
 
+    // Whether the cloud may still have machines for the job in this zone (empty: in any).
+    std::function<bool(const Job&, const std::string& zone)> rentable =
+        [](const Job&, const std::string&) { return true; };
+
     static constexpr std::uint32_t taskBits = 24;
 
   private:
@@ -65,6 +69,9 @@
     // Keeps machines for a gang that can't start yet; how many are missing.
     std::uint32_t gather(Ledger& ledger, std::uint32_t part, Job& job,
                          std::set<std::string>& blockedZones);
+    // Takes no more other work on busy machines, so that they come free for the gang.
+    std::uint32_t drainFor(Ledger& ledger, std::uint32_t part, const Job& job,
+                           std::uint32_t missing);
     void chooseZone(Ledger& ledger, std::uint32_t part, Job& job);
     void dropReservations(Ledger& ledger, std::uint32_t part);
     [[nodiscard]] std::uint32_t gangRoom(Ledger& ledger, std::uint32_t part, const Job& job);
