--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -196,8 +196,10 @@
     for (auto* machine : ledger.machinesOf(part)) {
         if (now >= machine->reservedUntil) continue;
         const Job* job = ledger.job(machine->reservedFor);
+        // What gangs gather is dealt out anew each time, in the queue's order: a later one never
+        // holds what completes an earlier one.
         if (job == nullptr || job->cancelled || job->part != part ||
-            (job->spec.kind == JobKind::gang && job->anyClaim()))
+            (job->spec.kind == JobKind::gang && (job->anyClaim() || machine->heard)))
             machine->reservedUntil = now;
     }
 }
@@ -249,30 +251,23 @@
     const auto now = context_.now();
     std::uint32_t held = 0;
     if (blockedZones.contains(zone)) return job.spec.tasks;
-    for (const bool reserved : {true, false}) {
-        for (auto* machine : ledger.machinesOf(part)) {
-            if (held >= job.spec.tasks) return 0;
-            if (!zone.empty() && machine->zone != zone) continue;
-            const bool ours = now < machine->reservedUntil && machine->reservedFor == job.spec.id;
-            if (ours != reserved) continue;
-            if (ours) {
-                // Booting ones were reserved for long when they were rented.
-                if (machine->heard && !takesWork(*machine)) continue;
-                if (machine->heard)
-                    reserve(*machine, job, machine->reservedTasks, gatherRenewal);
-                held += machine->reservedTasks;
-            } else if (now >= machine->reservedUntil && takesWork(*machine) &&
-                       allowed(job, *machine, {})) {
-                Resources room = context_.type(machine->type)->capacity;
-                room -= machine->used;
-                reserve(*machine, job, fitsIn(job, room, job.spec.tasks - held), gatherRenewal);
-                held += machine->reservedTasks;
-            }
+    for (auto* machine : ledger.machinesOf(part)) {
+        if (held >= job.spec.tasks) return 0;
+        if (!zone.empty() && machine->zone != zone) continue;
+        if (now < machine->reservedUntil) {
+            // Rented for it and booting.
+            if (machine->reservedFor == job.spec.id) held += machine->reservedTasks;
+        } else if (takesWork(*machine) && allowed(job, *machine, {})) {
+            Resources room = context_.type(machine->type)->capacity;
+            room -= machine->used;
+            reserve(*machine, job, fitsIn(job, room, job.spec.tasks - held), gatherRenewal);
+            held += machine->reservedTasks;
         }
     }
     auto missing = job.spec.tasks - held;
-    if (missing > 0 && !rentable(job, zone)) missing -= drainFor(ledger, part, job, missing);
-    if (missing > 0) blockedZones.insert(zone);
+    if (missing == 0) return 0;
+    blockedZones.insert(zone);
+    if (!rentable(job, zone)) missing -= drainFor(ledger, part, job, missing);
     return missing;
 }
 
