--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -116,6 +116,7 @@
     if (m == nullptr) return;
     m->claims.push_back({job.spec.id, claim.task, claim.attempt});
     m->used += job.spec.each;
+    ++imageUse_[job.spec.image][m->part];
 }
 
 void Ledger::detach(const Job& job, const Claim& claim) {
@@ -180,6 +181,7 @@
 
 void Ledger::rebuildIndexes() {
     byPart_.clear();
+    imageUse_.clear();
     for (auto& [id, m] : machines) {
         m.claims.clear();
         m.used = {};
@@ -190,6 +192,14 @@
             for (const auto& claim : slice.claims) attach(j, claim);
 }
 
+double Ledger::cachedShare(const JobSpec& spec, std::uint32_t part) const {
+    const auto image = imageUse_.find(spec.image);
+    if (image == imageUse_.end()) return 0;
+    const auto uses = image->second.find(part);
+    if (uses == image->second.end()) return 0;
+    return std::min(1.0, static_cast<double>(uses->second) / std::max(1U, spec.tasks));
+}
+
 Resources Ledger::usedBy(const std::string& team, std::uint32_t part) const {
     Resources total;
     for (const auto& [id, j] : jobs) {
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -66,6 +66,7 @@
     SteadyTime notBefore{};  // backing off
     int failures = 0;
     std::set<std::string> failedOn;
+    SteadyTime preemptedUntil{};  // others have been stopped for it
     std::string gatherZone;  // where a waiting gang that must stay in one zone gathers machines
     SteadyTime gatherSince{};
 
@@ -179,6 +180,10 @@
     // After the records were read anew.
     void rebuildIndexes();
 
+    // How much of an image's demand a part can serve from its machines' caches, 0 to 1: by the tasks
+    // with this image that had a place there.
+    [[nodiscard]] double cachedShare(const JobSpec& spec, std::uint32_t part) const;
+
     [[nodiscard]] Resources usedBy(const std::string& team, std::uint32_t part) const;
 
   private:
@@ -186,6 +191,7 @@
     void detach(const Job& job, const Claim& claim);
 
     std::map<std::uint32_t, std::vector<Machine*>> byPart_;
+    std::map<std::string, std::map<std::uint32_t, std::uint32_t>> imageUse_;  // by part
 };
 
 std::vector<Slice> makeSlices(const JobSpec& spec, std::uint32_t sliceSize, std::uint32_t part);
--- a/src/coordination/moves.cpp
+++ b/src/coordination/moves.cpp
@@ -99,7 +99,11 @@
             // will miss its aim unless it starts about now: the average lags behind it.
             stranded = !placement_.everFits(*job, part);
             free = freedom(*job, part);
-            atRisk = placement_.atRisk(*job);
+            // Elsewhere its image may have to be fetched: what has it here waits here for as long
+            // as that would take.
+            const Seconds waited = context_.timers.wallNow() - job->submitted;
+            atRisk = placement_.atRisk(*job) &&
+                     (free > 0 || waited >= placement_.fetchTime(*job));
         }
         queue.considered();
         const double chance = queue.moveProbability(free, tuning);
@@ -134,13 +138,14 @@
     next.slice = slice.index;
     next.wholeJob = wholeJob;
     next.tasks = wholeJob ? job.spec.tasks : static_cast<std::uint32_t>(slice.done.size());
-    std::vector<std::pair<std::uint32_t, std::uint32_t>> order;  // room, part
+    std::vector<std::pair<double, std::uint32_t>> order;  // part, by room, with the image first
     {
         auto ledger = context_.ledger.lock();
         for (std::uint32_t other = 0; other < context_.partCount(); ++other) {
             if (other == part || !ledger->nodes.contains(ledger->parts[other].owner)) continue;
             const auto room = placement_.roomFor(job, other, next.tasks);
-            if (room > 0) order.emplace_back(room, other);
+            if (room > 0)
+                order.emplace_back(room * (1 + ledger->cachedShare(job.spec, other)), other);
         }
     }
     std::sort(order.rbegin(), order.rend());
@@ -281,24 +286,28 @@
 }
 
 std::uint32_t Moves::mapJob(const Job& job) {
-    // Greedy: where most of it can start now; else where the queue is shortest for the machines
-    // that could run it.
+    // Greedy: where it would run first, by the queue there and by what its image takes to fetch.
+    // Jobs of one image so come together in few parts, whose machines have it.
     std::uint32_t best = context_.naturalPart;
-    std::tuple<int, int, double> bestScore{-1, -1, 0};
+    std::tuple<int, double> bestScore{-1, 0};
+    const auto fetch = placement_.fetchTime(job).count();
     auto ledger = context_.ledger.lock();
     for (std::uint32_t i = 0; i < context_.partCount(); ++i) {
         // Equal parts: one's own first.
         const auto part = (context_.naturalPart + i) % context_.partCount();
         if (!ledger->nodes.contains(ledger->parts[part].owner)) continue;
-        const auto queue = static_cast<int>(placement_.queueLength(part));
-        const auto room = static_cast<int>(
-            placement_.roomFor(job, part, job.spec.tasks + static_cast<std::uint32_t>(queue)));
+        const auto queue = placement_.queueLength(part);
+        const auto room = placement_.roomFor(job, part, job.spec.tasks + queue);
+        const auto startNow = std::min(room > queue ? room - queue : 0, job.spec.tasks);
         double running = 1;
         for (const auto* machine : ledger->machinesOf(part))
             running += static_cast<double>(machine->claims.size());
+        const double waiting = startNow >= job.spec.tasks
+                                   ? 0
+                                   : (queue + job.spec.tasks - startNow) / running *
+                                         std::max(1.0, job.spec.estimate.count());
         const std::tuple score{placement_.everFits(job, part) ? 1 : 0,
-                               std::clamp(room - queue, 0, static_cast<int>(job.spec.tasks)),
-                               -queue / running};
+                               -waiting - fetch * (1 - ledger->cachedShare(job.spec, part))};
         if (score > bestScore) {
             bestScore = score;
             best = part;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -84,12 +84,18 @@
     return next ? *next : plus(job.submitted, patience);
 }
 
+Seconds Placement::fetchTime(const Job& job) const {
+    std::optional<double> fetch;
+    for (const auto& type : context_.catalog) {
+        if (!typeAllowed(job.spec, type, job.spec.zone.value_or(""), false)) continue;
+        const double here = job.spec.imageSize / type.fetchRate;
+        fetch = fetch ? std::min(*fetch, here) : here;
+    }
+    return Seconds(fetch.value_or(0));
+}
+
 bool Placement::atRisk(const Job& job) const {
-    double fetch = 0;
-    for (const auto& type : context_.catalog)
-        if (typeAllowed(job.spec, type, job.spec.zone.value_or(""), false))
-            fetch = std::max(fetch, job.spec.imageSize / type.fetchRate);
-    const Seconds needed = Seconds(fetch) + context_.settings.report * 2 + riskMargin;
+    const Seconds needed = fetchTime(job) + context_.settings.report * 2 + riskMargin;
     return latestStart(job) < plus(context_.timers.wallNow(), needed);
 }
 
@@ -199,7 +205,8 @@
         // What gangs gather is dealt out anew each time, in the queue's order: a later one never
         // holds what completes an earlier one.
         if (job == nullptr || job->cancelled || job->part != part ||
-            (job->spec.kind == JobKind::gang && (job->anyClaim() || machine->heard)))
+            (job->spec.kind == JobKind::gang &&
+             (job->anyClaim() || (machine->heard && now >= job->preemptedUntil))))
             machine->reservedUntil = now;
     }
 }
@@ -246,16 +253,14 @@
     // A gang would wait for ever behind small work that takes each machine as it comes free. In
     // the queue's order, each keeps what is free until it has enough; one that lacks machines
     // keeps later ones from gathering in its zone, so that no two hold half of what both need.
-    chooseZone(ledger, part, job);
     const auto& zone = job.gatherZone;
     const auto now = context_.now();
     std::uint32_t held = 0;
-    if (blockedZones.contains(zone)) return job.spec.tasks;
     for (auto* machine : ledger.machinesOf(part)) {
         if (held >= job.spec.tasks) return 0;
         if (!zone.empty() && machine->zone != zone) continue;
         if (now < machine->reservedUntil) {
-            // Rented for it and booting.
+            // Rented for it and booting, or others are being stopped there.
             if (machine->reservedFor == job.spec.id) held += machine->reservedTasks;
         } else if (takesWork(*machine) && allowed(job, *machine, {})) {
             Resources room = context_.type(machine->type)->capacity;
@@ -452,10 +457,13 @@
             placed = placeArray(*ledger, part, job, left[team], overShare);
         if (placed >= ready.tasks) continue;
         if (job.spec.kind == JobKind::gang && !overShare) {
-            const auto missing = gather(*ledger, part, job, blockedZones);
-            unplaced.push_back({job.spec.id, missing, false, true, job.gatherZone});
+            chooseZone(*ledger, part, job);
+            const bool waitsTurn = blockedZones.contains(job.gatherZone);
+            const auto missing =
+                waitsTurn ? job.spec.tasks : gather(*ledger, part, job, blockedZones);
+            unplaced.push_back({job.spec.id, missing, false, true, job.gatherZone, waitsTurn});
         } else {
-            unplaced.push_back({job.spec.id, ready.tasks - placed, overShare, false, {}});
+            unplaced.push_back({job.spec.id, ready.tasks - placed, overShare, false, {}, false});
         }
     }
     return unplaced;
@@ -469,7 +477,8 @@
         double loss = 0;
     };
     const auto now = context_.now();
-    const auto use = zoneUseOf(ledger, job);
+    auto use = zoneUseOf(ledger, job);
+    if (!job.gatherZone.empty()) use[job.gatherZone] = 1;
     Machine* best = nullptr;
     std::vector<Victim> bestVictims;
     double bestLoss = std::numeric_limits<double>::max();
@@ -531,17 +540,17 @@
                                             const std::vector<Unplaced>& unplaced) {
     std::set<std::string> machines;
     auto ledger = context_.ledger.lock();
-    const auto& machinesHere = ledger->machinesOf(part);
     for (const auto& entry : unplaced) {
-        const Job* job = ledger->job(entry.job);
-        if (job == nullptr || entry.overShare || !atRisk(*job)) continue;
-        const bool reserved =
-            std::any_of(machinesHere.begin(), machinesHere.end(), [&](const Machine* m) {
-                return m->reservedFor == entry.job && context_.now() < m->reservedUntil;
-            });
-        if (reserved) continue;
-        for (std::uint32_t i = 0; i < std::min(entry.tasks, mostPreempted); ++i)
+        Job* job = ledger->job(entry.job);
+        if (job == nullptr || entry.overShare || entry.waitsTurn || !atRisk(*job) ||
+            context_.now() < job->preemptedUntil)
+            continue;
+        // A gang gets nothing from a part of the room it needs.
+        const auto most = entry.gang ? entry.tasks : std::min(entry.tasks, mostPreempted);
+        for (std::uint32_t i = 0; i < most; ++i) {
             if (!makeRoom(*ledger, part, *job, machines)) break;
+            job->preemptedUntil = context_.now() + reservation;
+        }
     }
     return machines;
 }
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -13,6 +13,7 @@
     // A gang: as many machines are missing, and they must be in this zone (empty: in any).
     bool gang = false;
     std::string zone;
+    bool waitsTurn = false;  // an earlier gang gathers in that zone
 };
 
 class Placement {
@@ -46,6 +47,8 @@
     [[nodiscard]] bool takesWork(const Machine& machine) const;
     // When a job should have started at the latest to meet what is expected of it.
     [[nodiscard]] transport::WallTime latestStart(const Job& job) const;
+    // Seconds to fetch its image onto the fastest machine it may use.
+    [[nodiscard]] Seconds fetchTime(const Job& job) const;
     // Whether it will miss its next aim unless it gets a place about now.
     [[nodiscard]] bool atRisk(const Job& job) const;
 
