Starts no longer wait for the next report; tasks wait for a cached image where that is shorter

Once claims are durable, an empty order with a higher token makes the worker report. Tokens keep low bits for that below the term. Starts still go out in answers to reports only.

--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -107,6 +107,9 @@
     std::uint64_t session = 0;
     std::uint64_t sequence = 0;
     std::uint64_t endedSession = 0;  // its lease has surely run out
+    std::uint64_t firstToken = 0;    // of ours as its owner: who has seen it heeds no older owner
+    std::uint64_t token = 0;         // what it is answered with; grows within a term
+    SteadyTime nudged{};             // when its worker was last made to report
 
     std::optional<SteadyTime> heard;  // last newer report, by this process as its owner
     SteadyTime silentSince{};         // leases can't have been renewed after this
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -47,7 +47,10 @@
         intake_.noteFinal(id, cancelled);
         stopping_.erase(id);
     };
-    recorder_.onDurable = [this] { soon(); };
+    recorder_.onDurable = [this](const std::set<std::string>& machines) {
+        reports_.nudge(machines);
+        soon();
+    };
     reports_.onUnassigned = [this](const protocol::WorkerReport& report) {
         fleet_.noteReported(report);
     };
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -1,7 +1,7 @@
 // Who is alive, who owns which part, and whether this process may still act as an owner.
 //
 // A node's record hangs on a lease with the state service. A part's record names its owner and
-// term; the term is the token its machines see. A lapsed owner's part goes to a peer with a higher
+// term; the tokens that its machines see begin with the term. A lapsed owner's part goes to a peer with a higher
 // term, and back when the part's natural owner has returned.
 #pragma once
 
@@ -32,7 +32,10 @@
     [[nodiscard]] bool active(std::uint32_t part);
     [[nodiscard]] std::vector<std::uint32_t> activeParts();
     [[nodiscard]] std::uint64_t term(std::uint32_t part);
-    // A worker has seen a higher token than our term.
+    // The least token for a part's machines. The low bits are free to grow within a term.
+    [[nodiscard]] std::uint64_t firstToken(std::uint32_t part) { return term(part) << tokenBits; }
+    static constexpr std::uint32_t tokenBits = 16;
+    // A worker has seen a token of a later term than ours.
     void raiseTerm(std::uint32_t part);
     [[nodiscard]] bool healthy() const;
     [[nodiscard]] bool peerFresh(const std::string& peer) const;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -306,28 +306,22 @@
     return kept;
 }
 
-double Placement::cost(const Ledger& ledger, const Job& job, const Machine& machine,
+double Placement::cost(Ledger& ledger, const Job& job, const Machine& machine,
                        const MachineType& type) const {
     double seconds = 0;
     const bool cached = std::any_of(machine.images.begin(), machine.images.end(),
                                     [&](const auto& i) { return i.name == job.spec.image; });
     if (!cached) {
         const double fetch = job.spec.imageSize / type.fetchRate;
-        double fetching = 0;
         bool begun = false;
         std::set<std::string> others;
         for (const auto& ref : machine.claims) {
-            const auto other = ledger.jobs.find(ref.job);
-            if (other == ledger.jobs.end()) continue;
-            for (const auto& slice : other->second.slices)
-                for (const auto& claim : slice.claims)
-                    if (claim.task == ref.task && claim.state == TaskState::fetching) {
-                        begun = begun || other->second.spec.image == job.spec.image;
-                        others.insert(other->second.spec.image);
-                    }
+            const auto [other, slice, claim] = ledger.held(ref);
+            if (claim == nullptr || claim->state != TaskState::fetching) continue;
+            begun = begun || other->spec.image == job.spec.image;
+            others.insert(other->spec.image);
         }
-        fetching = static_cast<double>(others.size());
-        seconds += begun ? fetch * sharedFetch : fetch * (1 + fetching);
+        seconds += begun ? fetch * sharedFetch : fetch * (1 + static_cast<double>(others.size()));
     }
     if (job.spec.each.gpus <= 0 && type.capacity.gpus > 0)
         seconds += idleGpuSeconds * job.spec.each.cpus / std::max(1.0, type.capacity.cpus) +
@@ -338,6 +332,17 @@
     return seconds;
 }
 
+bool Placement::hasImage(Ledger& ledger, const Machine& machine, const Job& job) {
+    const auto& image = job.spec.image;
+    return std::any_of(machine.images.begin(), machine.images.end(),
+                       [&](const auto& i) { return i.name == image; }) ||
+           // Under way for another task.
+           std::any_of(machine.claims.begin(), machine.claims.end(), [&](const auto& ref) {
+               const Job* other = ledger.job(ref.job);
+               return other != nullptr && other->spec.image == image;
+           });
+}
+
 Machine* Placement::choose(Ledger& ledger, std::uint32_t part, const Job& job,
                            const std::map<std::string, std::uint32_t>& zoneUse) {
     Machine* best = nullptr;
@@ -353,10 +358,30 @@
     return best;
 }
 
-std::uint32_t Placement::placeArray(Ledger& ledger, std::uint32_t part, Job& job, Resources& left,
-                                    bool& overShare) {
+std::uint32_t Placement::worthWaiting(const Ledger& ledger, std::uint32_t part,
+                                      const Job& job) const {
+    const auto fetch = fetchTime(job);
+    const Seconds waited = context_.timers.wallNow() - job.submitted;
+    if (waited >= fetch || job.spec.estimate.count() <= 0) return 0;
+    // Places on machines that have the image come free at this rate.
+    double places = 0;
+    for (const auto* machine : ledger.machinesOf(part)) {
+        const auto* type = context_.type(machine->type);
+        if (type == nullptr || !takesWork(*machine) ||
+            !typeAllowed(job.spec, *type, machine->zone, machine->spot) ||
+            std::none_of(machine->images.begin(), machine->images.end(),
+                         [&](const auto& i) { return i.name == job.spec.image; }))
+            continue;
+        places += fitsIn(job, type->capacity, job.spec.tasks);
+    }
+    return static_cast<std::uint32_t>(places * (fetch / job.spec.estimate));
+}
+
+Placement::Placed Placement::placeArray(Ledger& ledger, std::uint32_t part, Job& job,
+                                        Resources& left, bool& overShare) {
     auto zoneUse = zoneUseOf(ledger, job);
-    std::uint32_t placed = 0;
+    Placed placed;
+    std::optional<std::uint32_t> mayWait;  // worked out when the first would have to fetch
     for (auto& slice : job.slices) {
         if (slice.part != part || slice.leaving ||
             slice.doneCount + slice.claims.size() >= slice.done.size())
@@ -364,13 +389,21 @@
         for (std::uint32_t i = 0; i < slice.done.size(); ++i) {
             const auto task = slice.first + i;
             if (slice.done[i] || slice.claimOf(task) != nullptr) continue;
-            if (placed >= placementsPerRun) return placed;
+            if (placed.tasks >= placementsPerRun) return placed;
             if (!job.spec.each.fits(left)) {
                 overShare = true;
                 return placed;
             }
             Machine* machine = choose(ledger, part, job, zoneUse);
             if (machine == nullptr) return placed;
+            if (!hasImage(ledger, *machine, job)) {
+                if (!mayWait) mayWait = worthWaiting(ledger, part, job);
+                if (*mayWait > 0) {
+                    --*mayWait;
+                    ++placed.waiting;
+                    continue;
+                }
+            }
             Claim claim;
             claim.task = task;
             claim.machine = machine->id;
@@ -382,7 +415,7 @@
                           job.spec.id, task, machine->id, machine->type, job.spec.jobClass,
                           Seconds(context_.timers.wallNow() - job.submitted).count());
             ledger.addClaim(job, slice, std::move(claim));
-            ++placed;
+            ++placed.tasks;
         }
     }
     return placed;
@@ -450,12 +483,13 @@
         const auto& team = job.spec.team;
         if (!left.contains(team)) left[team] = teamLeft(*ledger, team, part);
         bool overShare = false;
-        std::uint32_t placed = 0;
+        Placed placed;
         if (job.spec.kind == JobKind::gang)
-            placed = placeGang(*ledger, part, job, left[team], overShare) ? ready.tasks : 0;
+            placed.tasks = placeGang(*ledger, part, job, left[team], overShare) ? ready.tasks : 0;
         else
             placed = placeArray(*ledger, part, job, left[team], overShare);
-        if (placed >= ready.tasks) continue;
+        const auto settled = placed.tasks + placed.waiting;
+        if (settled >= ready.tasks) continue;
         if (job.spec.kind == JobKind::gang && !overShare) {
             chooseZone(*ledger, part, job);
             const bool waitsTurn = blockedZones.contains(job.gatherZone);
@@ -463,7 +497,7 @@
                 waitsTurn ? job.spec.tasks : gather(*ledger, part, job, blockedZones);
             unplaced.push_back({job.spec.id, missing, false, true, job.gatherZone, waitsTurn});
         } else {
-            unplaced.push_back({job.spec.id, ready.tasks - placed, overShare, false, {}, false});
+            unplaced.push_back({job.spec.id, ready.tasks - settled, overShare, false, {}, false});
         }
     }
     return unplaced;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -66,8 +66,15 @@
     };
 
     std::vector<Ready> readyJobs(Ledger& ledger, std::uint32_t part);
-    std::uint32_t placeArray(Ledger& ledger, std::uint32_t part, Job& job, Resources& left,
-                             bool& overShare);
+    // How many of a job's tasks do better to wait for machines that have its image.
+    [[nodiscard]] std::uint32_t worthWaiting(const Ledger& ledger, std::uint32_t part,
+                                             const Job& job) const;
+    struct Placed {
+        std::uint32_t tasks = 0;
+        std::uint32_t waiting = 0;  // for a machine with the image, rather than elsewhere
+    };
+    Placed placeArray(Ledger& ledger, std::uint32_t part, Job& job, Resources& left,
+                      bool& overShare);
     bool placeGang(Ledger& ledger, std::uint32_t part, Job& job, Resources& left, bool& overShare);
     // Keeps machines for a gang that can't start yet; how many are missing.
     std::uint32_t gather(Ledger& ledger, std::uint32_t part, Job& job,
@@ -86,7 +93,9 @@
                     const std::map<std::string, std::uint32_t>& zoneUse);
     [[nodiscard]] bool allowed(const Job& job, const Machine& machine,
                                const std::map<std::string, std::uint32_t>& zoneUse) const;
-    [[nodiscard]] double cost(const Ledger& ledger, const Job& job, const Machine& machine,
+    // Or is fetching it.
+    [[nodiscard]] static bool hasImage(Ledger& ledger, const Machine& machine, const Job& job);
+    [[nodiscard]] double cost(Ledger& ledger, const Job& job, const Machine& machine,
                               const MachineType& type) const;
     [[nodiscard]] Resources teamLeft(Ledger& ledger, const std::string& team,
                                      std::uint32_t part) const;
--- a/src/coordination/recorder.cpp
+++ b/src/coordination/recorder.cpp
@@ -84,6 +84,7 @@
 
 void Recorder::finish(std::uint32_t part, const Batch& batch, CommitResult result,
                       std::uint64_t revision) {
+    std::set<std::string> machines;
     {
         auto ledger = context_.ledger.lock();
         for (const auto& [id, cancelled] : batch.finals) {
@@ -115,7 +116,8 @@
                     for (const auto& entry : (*written->value)["claims"])
                         if (entry[2].get<std::uint64_t>() == claim.attempt &&
                             entry[0].get<std::uint32_t>() + slice.first == claim.task)
-                            claim.durable = true;
+                            if (!std::exchange(claim.durable, true))
+                                machines.insert(claim.machine);
                 }
             } else {
                 // What did not become durable was never sent: forget it and decide anew.
@@ -127,7 +129,7 @@
             }
         }
     }
-    if (result == CommitResult::done && !batch.slices.empty()) onDurable();
+    if (!machines.empty()) onDurable(machines);
     if (result == CommitResult::done) flush(part);
 }
 
--- a/src/coordination/recorder.h
+++ b/src/coordination/recorder.h
@@ -15,8 +15,9 @@
     // A job has reached its end, durably.
     std::function<void(const std::string& job, bool cancelled)> onFinal = [](const std::string&,
                                                                              bool) {};
-    // Claims have become durable: their starts may be sent.
-    std::function<void()> onDurable = [] {};
+    // Claims on these machines have become durable: their starts may be sent.
+    std::function<void(const std::set<std::string>& machines)> onDurable =
+        [](const std::set<std::string>&) {};
 
   private:
     struct Batch {
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -17,6 +17,7 @@
 constexpr double leaseDrift = 1.002;
 constexpr auto leaseMargin = 1500ms;
 constexpr auto orderTimeout = 2s;
+constexpr auto worthANudge = 1s;  // until its next report is due
 constexpr auto refusedPause = 3s;  // a machine that had no room, or knew no such job
 constexpr int errorsToQuarantine = 2;
 constexpr auto quarantine = 10min;
@@ -55,29 +56,36 @@
     if (part.owner != context_.settings.name)
         return ledger->nodes.contains(part.owner) ? misdirected(part.owner) : ReportAnswer{503, {}};
     if (!membership_.active(machine->part) || !membership_.mayAnswerWorkers()) return {503, {}};
-    if (report.token > part.term) {
+    refreshToken(*machine);
+    if (report.token >> Membership::tokenBits > machine->token >> Membership::tokenBits) {
         // It came from a part with a higher term. A 200 that the worker must drop would hold it
         // here while its lease runs out.
         membership_.raiseTerm(machine->part);
         return {503, {}};
     }
+    machine->token = std::max(machine->token, report.token);
     // Its lease ran out: what was held back on the way speaks of tasks that are gone.
     if (report.session <= machine->endedSession) return {503, {}};
     // A repeat or a late copy proves nothing new, and its sender waits no more.
     if (machine->heard && std::pair(report.session, report.sequence) <=
                               std::pair(machine->session, machine->sequence))
         return {503, {}};
-    takeIn(*ledger, *machine, report, part.term);
+    takeIn(*ledger, *machine, report);
 
     std::vector<Command> commands;
     for (const auto& task : report.tasks) takeTask(*ledger, *machine, task, commands);
     addStarts(*ledger, *machine, report, commands);
     machine->silentSince = context_.now();
-    return {200, protocol::encodeCbor(protocol::encodeCommands(part.term, commands))};
+    return {200, protocol::encodeCbor(protocol::encodeCommands(machine->token, commands))};
 }
 
-void Reports::takeIn(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report,
-                     std::uint64_t term) {
+void Reports::refreshToken(Machine& machine) {
+    const auto least = std::max(membership_.firstToken(machine.part), machine.tokenFloor);
+    if (machine.firstToken >= least) return;
+    machine.firstToken = machine.token = least;
+}
+
+void Reports::takeIn(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report) {
     const auto now = context_.now();
     if (!machine.heard) {
         spdlog::debug("machine {}: first report to part {}", machine.id, machine.part);
@@ -102,8 +110,8 @@
         }
         onChange();
     }
-    if (report.token != term) return;
-    // The worker has seen our term, so it accepts no older owner's answers any more, and it has
+    if (report.token < machine.firstToken) return;
+    // The worker has seen a token of ours, so it accepts no older owner's answers any more, and it has
     // one report in flight at a time: what this report lacks is not on the machine and can only
     // come to it by an answer of ours from now on.
     const auto claims = machine.claims;
@@ -315,13 +323,31 @@
 
 void Reports::order(const Machine& machine, const std::vector<Command>& commands) {
     if (machine.address.empty() || !machine.heard) return;
-    auto body = protocol::encodeCommands(membership_.term(machine.part), commands);
+    auto body = protocol::encodeCommands(machine.token, commands);
     body[protocol::wire::session] = machine.session;
     context_.network.call(machine.address,
                           {"POST", protocol::wire::pathOrders, protocol::encodeCbor(body)},
                           orderTimeout, [](const std::optional<transport::HttpResponse>&) {});
 }
 
+void Reports::nudge(const std::set<std::string>& machines) {
+    const auto now = context_.now();
+    auto ledger = context_.ledger.lock();
+    if (!membership_.leaseStands()) return;
+    for (const auto& id : machines) {
+        Machine* machine = ledger->machine(id);
+        if (machine == nullptr || !machine->heard || !membership_.active(machine->part) ||
+            machine->noticeEnds || now - machine->nudged < ticks(context_.settings.lease * 0.55))
+            continue;
+        // A higher token is a change that the worker reports; it does so for one in half a lease.
+        // Late, this raises the token to no more than we answer with by then, and orders nothing.
+        if (*machine->heard + ticks(context_.settings.report) - now < worthANudge) continue;
+        machine->nudged = now;
+        ++machine->token;
+        order(*machine, {});
+    }
+}
+
 void Reports::releaseClaims(Machine& machine, const char* why) {
     auto ledger = context_.ledger.lock();
     const auto claims = machine.claims;
--- a/src/coordination/reports.h
+++ b/src/coordination/reports.h
@@ -19,6 +19,9 @@
     ReportAnswer handle(const protocol::WorkerReport& report);
     // A part has come to this process: whatever was known of its machines must be proved anew.
     void onPartActive(std::uint32_t part);
+    // Makes the workers of these machines report soon: starts wait for them. Starts themselves go
+    // out in answers to reports only, which are never executed late.
+    void nudge(const std::set<std::string>& machines);
     // Sends stops straight to the machines of this job; the reports repeat them.
     void stopNow(const std::string& job);
     void stopMarked(const std::string& machine);
@@ -33,8 +36,9 @@
     std::function<void()> onChange = [] {};
 
   private:
-    void takeIn(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report,
-                std::uint64_t term);
+    // Brings the machine's token up to what its part's term, or a loan, demands.
+    void refreshToken(Machine& machine);
+    void takeIn(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report);
     void takeTask(Ledger& ledger, Machine& machine, const protocol::TaskReport& task,
                   std::vector<protocol::Command>& commands);
     void takeExit(Ledger& ledger, Machine& machine, Job& job, Slice& slice, Claim& claim,
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -151,6 +151,7 @@
     bool reporting = false;
     std::uint64_t reportNumber = 0;
     Time lastReport{-10};
+    Time tokenReported{-1000};
     bool soon = false;
     std::vector<std::string> images;
     std::vector<Task> tasks;
@@ -279,6 +280,11 @@
     const auto session = body ? protocol::countOf(*body, wire::session) : 0;
     if (token < target->token || session != target->session)
         return reply(answer(409, reportBody(*target)));
+    // A higher token is a change that it reports, once in half a lease.
+    if (token > target->token && now_ - target->tokenReported > spec_.lease / 2) {
+        target->tokenReported = now_;
+        reportSoon(*target);
+    }
     target->token = token;
     obey(*target, protocol::listOf(*body, wire::commands));
     ++target->sequence;
@@ -607,7 +613,10 @@
                     target.token = token;
                     target.leaseFrom = sent;
                     obey(target, protocol::listOf(*body, wire::commands));
-                    if (higher) reportSoon(target);
+                    if (higher && now_ - target.tokenReported > spec_.lease / 2) {
+                        target.tokenReported = now_;
+                        reportSoon(target);
+                    }
                 }
                 const Time pause =
                     reportPeriod * std::uniform_real_distribution<>(0.75, 1.25)(rng_);
