--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -490,7 +490,8 @@
             placed = placeArray(*ledger, part, job, left[team], overShare);
         const auto settled = placed.tasks + placed.waiting;
         if (settled >= ready.tasks) continue;
-        if (job.spec.kind == JobKind::gang && !overShare) {
+        // One task alone gathers nothing and lies in one zone anyway.
+        if (job.spec.kind == JobKind::gang && job.spec.tasks > 1 && !overShare) {
             chooseZone(*ledger, part, job);
             const bool waitsTurn = blockedZones.contains(job.gatherZone);
             const auto missing =
