--- a/src/coordination/context.h
+++ b/src/coordination/context.h
@@ -68,7 +68,6 @@
         const auto digits = id.find_last_not_of("0123456789") + 1;
         std::uint64_t number = 0;
         std::from_chars(id.data() + digits, id.data() + id.size(), number);
-        near.clear();
         return near.empty() ? static_cast<std::uint32_t>(number % nodes.size())
                             : near[number % near.size()];
     }
