An answer sent is no answer received: machines must show our token before they get work

Reports that arrive while answers don't kept claims 'still to be started' for ever and drew new ones; copies of reports come late and could pass for a live machine after a restart or takeover, adopt a task or raise a term.

Now a machine gets work only once a report has shown a token of ours; starts without effect in three answers, and reports that never show the token, tell that it does not hear; its claims end by proof or, unanswered, by its lease, and it is replaced. A higher token than ours is gone beyond for that machine alone, so that parts need no new term.

--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -29,6 +29,7 @@
     bool durable = false;
     bool giveUp = false;               // don't start it any more; wait for the proof
     bool seen = false;                 // reported at least once
+    int startsSent = 0;                // in answers, without a report that shows the task
     std::optional<Seconds> stopGrace;  // to be stopped, with this much time to save
     protocol::TaskState state = protocol::TaskState::fetching;
     SteadyTime made{};
@@ -110,6 +111,13 @@
     std::uint64_t firstToken = 0;    // of ours as its owner: who has seen it heeds no older owner
     std::uint64_t token = 0;         // what it is answered with; grows within a term
     SteadyTime nudged{};             // when its worker was last made to report
+    // An answer sent is no answer received: a report that shows the expected token proves that the
+    // worker heard us. Until then the machine gets no work.
+    std::uint64_t expected = 0;
+    std::uint64_t shown = 0;
+    SteadyTime doubtedSince{};
+    int unheard = 0;           // answered reports in a row that don't show it
+    SteadyTime mutedUntil{};   // not answered, so that its lease runs out
 
     std::optional<SteadyTime> heard;  // last newer report, by this process as its owner
     SteadyTime silentSince{};         // leases can't have been renewed after this
@@ -128,6 +136,8 @@
     std::deque<CachedImage> images;  // most recently used first
     std::vector<TaskRef> claims;
     Resources used;
+
+    [[nodiscard]] bool hears() const { return shown >= expected; }
 };
 
 struct Part {
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -258,9 +258,11 @@
 void Fleet::reviewUnrecorded(std::uint32_t part, Machine& machine, const MachineType& type) {
     const auto now = context_.now();
     if (recording_.contains(machine.id)) return;
-    if (wantedByAny(*context_.ledger.lock(), machine, type)) {
+    // What only late copies of reports speak of, or can't hear, is of no use.
+    const bool ghost = !machine.hears() && now - machine.known > ticks(context_.settings.lease);
+    if (machine.hears() && wantedByAny(*context_.ledger.lock(), machine, type)) {
         record(part, machine.id);
-    } else if (now - machine.idleSince > idleLimit(machine, type)) {
+    } else if (ghost || now - machine.idleSince > idleLimit(machine, type)) {
         // It never had work, and no claim can name it: it needs no record to be given back.
         spdlog::debug("machine {}: giving back, never wanted", machine.id);
         machine.retired = true;
@@ -650,6 +652,9 @@
         } else if (now - *machine.heard > silentLimit) {
             // Many at once are behind a cut rather than dead.
             if (silent * 2 <= live || silent == 1) retire(machine, "silent");
+        } else if (!machine.hears() && machine.claims.empty() &&
+                   now - machine.doubtedSince > silentLimit + ticks(context_.settings.lease)) {
+            retire(machine, "does not hear");
         } else if (machine.emptying && machine.claims.empty()) {
             retire(machine, "emptied");
         } else if (machine.claims.empty() && !machine.noticeEnds &&
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -217,12 +217,6 @@
     return context_.ledger.lock()->parts[part].term;
 }
 
-void Membership::raiseTerm(std::uint32_t part) {
-    spdlog::info("membership: part {} needs a higher term", part);
-    taken_.erase(part);
-    review();
-}
-
 void Membership::review() {
     for (std::uint32_t part = 0; part < context_.partCount(); ++part) {
         if (!settled(part) || announced_[part] == taken_[part]) continue;
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -35,8 +35,6 @@
     // The least token for a part's machines. The low bits are free to grow within a term.
     [[nodiscard]] std::uint64_t firstToken(std::uint32_t part) { return term(part) << tokenBits; }
     static constexpr std::uint32_t tokenBits = 16;
-    // A worker has seen a token of a later term than ours.
-    void raiseTerm(std::uint32_t part);
     [[nodiscard]] bool healthy() const;
     [[nodiscard]] bool peerFresh(const std::string& peer) const;
     [[nodiscard]] bool joined() const { return joined_; }
@@ -45,7 +43,6 @@
     static constexpr std::chrono::milliseconds confirmationLasts{2000};
 
     std::function<bool()> synced = [] { return false; };
-    std::function<void()> resync = [] {};
     std::function<bool()> ready = [] { return false; };
     std::function<void(std::uint32_t part)> onActive = [](std::uint32_t) {};
     std::function<bool(std::uint32_t part)> busy = [](std::uint32_t) { return false; };
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -60,7 +60,7 @@
 
 bool Placement::takesWork(const Machine& machine) const {
     const auto now = context_.now();
-    return machine.version != 0 && !machine.retired && !machine.emptying && !machine.noticeEnds && machine.heard &&
+    return machine.version != 0 && machine.hears() && !machine.retired && !machine.emptying && !machine.noticeEnds && machine.heard &&
            now - *machine.heard < ticks(context_.settings.report * silentReports) &&
            now >= machine.notBefore;
 }
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -17,6 +17,7 @@
 constexpr double leaseDrift = 1.002;
 constexpr auto leaseMargin = 1500ms;
 constexpr auto orderTimeout = 2s;
+constexpr int answersBelieved = 3;  // without any effect
 constexpr auto worthANudge = 1s;  // until its next report is due
 constexpr auto refusedPause = 3s;  // a machine that had no room, or knew no such job
 constexpr int errorsToQuarantine = 2;
@@ -57,13 +58,14 @@
         return ledger->nodes.contains(part.owner) ? misdirected(part.owner) : ReportAnswer{503, {}};
     if (!membership_.active(machine->part) || !membership_.mayAnswerWorkers()) return {503, {}};
     refreshToken(*machine);
-    if (report.token >> Membership::tokenBits > machine->token >> Membership::tokenBits) {
-        // It came from a part with a higher term. A 200 that the worker must drop would hold it
-        // here while its lease runs out.
-        membership_.raiseTerm(machine->part);
-        return {503, {}};
+    if (report.token > machine->token) {
+        // An earlier owner of the machine had a later term. While our lease stands nobody else owns
+        // its part, so that we may go beyond that token.
+        if (!membership_.leaseStands()) return {503, {}};
+        machine->firstToken = machine->token = report.token + 1;
+        doubt(*machine, machine->token);
     }
-    machine->token = std::max(machine->token, report.token);
+    if (context_.now() < machine->mutedUntil) return {503, {}};
     // Its lease ran out: what was held back on the way speaks of tasks that are gone.
     if (report.session <= machine->endedSession) return {503, {}};
     // A repeat or a late copy proves nothing new, and its sender waits no more.
@@ -83,6 +85,13 @@
     const auto least = std::max(membership_.firstToken(machine.part), machine.tokenFloor);
     if (machine.firstToken >= least) return;
     machine.firstToken = machine.token = least;
+    doubt(machine, least);
+}
+
+void Reports::doubt(Machine& machine, std::uint64_t expected) {
+    machine.expected = expected;
+    machine.doubtedSince = context_.now();
+    machine.unheard = 0;
 }
 
 void Reports::takeIn(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report) {
@@ -110,6 +119,16 @@
         }
         onChange();
     }
+    machine.shown = std::max(machine.shown, report.token);
+    if (machine.hears()) {
+        machine.unheard = 0;
+    } else if (++machine.unheard >= answersBelieved && !machine.claims.empty() &&
+               report.token < machine.firstToken) {
+        // Its reports arrive, or late copies of them, but no answer reaches it, and without our
+        // token they prove no end. Unanswered from here on, its lease runs out.
+        spdlog::info("machine {}: does not hear, left to its lease", machine.id);
+        machine.mutedUntil = now + ticks(context_.settings.lease * leaseDrift) + leaseMargin * 2;
+    }
     if (report.token < machine.firstToken) return;
     // The worker has seen a token of ours, so it accepts no older owner's answers any more, and it has
     // one report in flight at a time: what this report lacks is not on the machine and can only
@@ -119,8 +138,15 @@
         if (find(report, ref) != nullptr) continue;
         const auto [job, slice, claim] = ledger.held(ref);
         if (claim == nullptr || !claim->durable) continue;
-        // Unless it is still to be started.
-        if (!claim->seen && !claim->giveUp && !job->cancelled && !machine.retired) continue;
+        // Unless it is still to be started. Starts that don't arrive would keep it waiting for
+        // ever; what this report lacks no earlier answer can start any more.
+        if (!claim->seen && !claim->giveUp && !job->cancelled && !machine.retired) {
+            if (claim->startsSent < answersBelieved) continue;
+            if (machine.hears()) {
+                spdlog::info("machine {}: does not hear, its tasks go elsewhere", machine.id);
+                doubt(machine, ++machine.token);
+            }
+        }
         spdlog::debug("task {}/{}: not on {} (any more)", ref.job, ref.task, machine.id);
         ledger.removeClaim(*job, *slice, ref.task);
         onChange();
@@ -145,6 +171,7 @@
     Job* job = ledger.job(task.job);
     Slice* slice = job == nullptr ? nullptr : job->sliceOf(task.index);
     Claim* claim = slice == nullptr ? nullptr : slice->claimOf(task.index);
+    const bool proven = machine.shown >= machine.firstToken;
     const bool ours = claim != nullptr && slice->part == machine.part &&
                       claim->machine == machine.id && claim->attempt == task.attempt;
     if (!ours) {
@@ -159,6 +186,8 @@
                                !job->cancelled && !job->finishing && slice->part == machine.part &&
                                !slice->done[task.index - slice->first] &&
                                job->spec.kind != protocol::JobKind::gang;
+        // A late copy of a report, or one from before our time, shows what may be over by now.
+        if (!proven) return;
         if (!adoptable) {
             commands.push_back({CommandKind::stop, task.job, task.index, task.attempt, {}});
             return;
@@ -259,13 +288,16 @@
 void Reports::addStarts(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report,
                         std::vector<Command>& commands) {
     // Without the state service a start would rest on records that may have changed.
-    if (!membership_.leaseStands() || machine.retired || machine.noticeEnds) return;
+    if (!membership_.leaseStands() || machine.retired || machine.noticeEnds ||
+        report.token < machine.firstToken)
+        return;
     for (const auto& ref : machine.claims) {
         if (find(report, ref) != nullptr) continue;
         const auto [job, slice, claim] = ledger.held(ref);
         if (claim == nullptr || slice->part != machine.part) continue;
-        if (startable(*job, *claim))
-            commands.push_back({CommandKind::start, ref.job, ref.task, ref.attempt, {}});
+        if (!startable(*job, *claim)) continue;
+        ++claim->startsSent;
+        commands.push_back({CommandKind::start, ref.job, ref.task, ref.attempt, {}});
     }
 }
 
@@ -276,6 +308,7 @@
         machine->heard.reset();
         machine->session = machine->sequence = 0;
         machine->noticeEnds.reset();
+        machine->mutedUntil = {};
         machine->silentSince = machine->known = machine->idleSince =
             now + Membership::confirmationLasts;
     }
@@ -285,6 +318,7 @@
                 for (auto& claim : slice.claims) {
                     // It may have been started or not: only its machine's report tells.
                     claim.seen = false;
+                    claim.startsSent = 0;
                     claim.stopGrace.reset();
                 }
 }
--- a/src/coordination/reports.h
+++ b/src/coordination/reports.h
@@ -38,6 +38,8 @@
   private:
     // Brings the machine's token up to what its part's term, or a loan, demands.
     void refreshToken(Machine& machine);
+    // Nothing shows any more that the worker hears us: it has to prove it.
+    void doubt(Machine& machine, std::uint64_t expected);
     void takeIn(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report);
     void takeTask(Ledger& ledger, Machine& machine, const protocol::TaskReport& task,
                   std::vector<protocol::Command>& commands);
--- a/tests/sim/scenario_main.cpp
+++ b/tests/sim/scenario_main.cpp
@@ -191,6 +191,22 @@
             world.notice(machine(3), length(4));
         } else if (word == "break") {
             world.breakMachine(machine(3));
+        } else if (word == "deaf") {
+            world.deafen(machine(3), length(5));
+        } else if (word == "copy-reports") {
+            world.copyReports(line.numberAt(3), length(4));
+        } else if (word == "cut-zone") {
+            world.cutZone(line.at(3), length(5), line.has("hold"));
+        } else if (word == "part-zones") {
+            world.partZones(line.at(3), line.at(4), length(6), line.has("hold"));
+        } else if (word == "refuse-peers") {
+            world.refusePeers(length(4));
+        } else if (word == "isolate-from-state") {
+            world.isolateFromState(index(3), length(5));
+        } else if (word == "roll") {
+            for (int node = 0; node < world.nodeCount(); ++node)
+                world.at(world.now() + length(4) * node,
+                         [&world, node, line] { world.kill(node, Time(line.numberAt(6))); });
         } else if (word == "lose-answers") {
             world.loseAnswers(line.numberAt(3));
         } else {
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -46,6 +46,11 @@
     return out;
 }
 
+template <typename Map>
+auto& nth(Map& map, std::size_t index) {
+    return *std::next(map.begin(), static_cast<std::ptrdiff_t>(index))->second;
+}
+
 }  // namespace
 
 // Timers and network of one life of a node: what an earlier life has planned never happens.
@@ -142,6 +147,7 @@
     bool faulty = false;
     Time rented{};
     Time hangsUntil{};
+    Time deafUntil{};
     std::optional<Time> noticeEnds;
     std::uint64_t session = 1;
     std::uint64_t sequence = 0;
@@ -233,6 +239,7 @@
 
 void World::deliver(const std::string& from, const std::string& to, std::function<void()> action) {
     Time delay(std::uniform_real_distribution<>(0.0005, 0.01)(rng_));
+    if (const auto* target = worker(to); target != nullptr && target->deafUntil > now_) return;
     const auto found = cuts_.find(std::minmax(from, to));
     if (found != cuts_.end() && found->second.until > now_) {
         if (!found->second.hold) return;
@@ -291,6 +298,45 @@
     reply(answer(200, reportBody(*target)));
 }
 
+void World::deafen(std::size_t machine, Time length) {
+    nth(workers_, machine).deafUntil = now_ + length;
+}
+
+void World::cutZone(const std::string& zone, Time length, bool hold) {
+    for (const auto& [host, where] : hosts())
+        if (where == zone)
+            for (const auto& [other, elsewhere] : hosts())
+                if (elsewhere != zone) cut(host, other, length, hold);
+}
+
+void World::partZones(const std::string& one, const std::string& other, Time length, bool hold) {
+    for (const auto& [host, where] : hosts())
+        if (where == one)
+            for (const auto& [peer, elsewhere] : hosts())
+                if (elsewhere == other) cut(host, peer, length, hold);
+}
+
+void World::refusePeers(Time length) {
+    for (const auto& node : nodes_)
+        for (const auto& other : nodes_)
+            if (node != other) cut(node->name, other->name, length, false);
+}
+
+void World::isolateFromState(int node, Time length) {
+    const auto& name = nodes_[static_cast<std::size_t>(node)]->name;
+    cut(name, "state", length, false);
+    for (const auto& other : nodes_)
+        if (other->name != name) cut(name, other->name, length, false);
+}
+
+std::map<std::string, std::string> World::hosts() const {
+    std::map<std::string, std::string> all{
+        {"state", ""}, {"cloud", ""}, {"users", ""}};  // regional
+    for (const auto& node : nodes_) all[node->name] = node->settings.zone;
+    for (const auto& [id, w] : workers_) all[id] = w->zone;
+    return all;
+}
+
 void World::cut(const std::string& one, const std::string& other, Time length, bool hold) {
     cuts_[std::minmax(one, other)] = {now_ + length, hold};
 }
@@ -587,8 +633,14 @@
     const auto number = ++w.reportNumber;
     const auto sent = now_;
     const auto session = w.session;
-    request(w.id, nodes_[static_cast<std::size_t>(w.node)]->name,
-            {"POST", wire::pathReport, protocol::encodeCbor(reportBody(w))}, reportTimeout,
+    const HttpRequest sending{"POST", wire::pathReport, protocol::encodeCbor(reportBody(w))};
+    const auto& node = nodes_[static_cast<std::size_t>(w.node)]->name;
+    if (std::uniform_real_distribution<>(0, 1)(rng_) < copiedShare_)
+        at(now_ + latestCopy_ * std::uniform_real_distribution<>(0.02, 1)(rng_),
+           [this, id = w.id, node, sending] {
+               serve(id, node, sending, [](const HttpResponse&) {});
+           });
+    request(w.id, node, sending, reportTimeout,
             [this, id = w.id, number, sent, session](const std::optional<HttpResponse>& response) {
                 Worker& target = *worker(id);
                 if (target.gone || target.reportNumber != number) return;
@@ -796,13 +848,6 @@
 
 // ---- troubles of machines
 
-namespace {
-template <typename Map>
-auto& nth(Map& map, std::size_t index) {
-    return *std::next(map.begin(), static_cast<std::ptrdiff_t>(index))->second;
-}
-}  // namespace
-
 void World::hang(std::size_t machine, Time length) {
     nth(workers_, machine).hangsUntil = now_ + length;
 }
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -59,12 +59,24 @@
     void die(std::size_t machine);
     void notice(std::size_t machine, Time left);
     void breakMachine(std::size_t machine);  // fails every task
+    // Its reports arrive; answers and orders don't reach it.
+    void deafen(std::size_t machine, Time length);
+    // Copies of this share of reports come again up to so much later.
+    void copyReports(double share, Time latest) {
+        copiedShare_ = share;
+        latestCopy_ = latest;
+    }
+    void cutZone(const std::string& zone, Time length, bool hold);
+    void partZones(const std::string& one, const std::string& other, Time length, bool hold);
+    void refusePeers(Time length);
+    void isolateFromState(int node, Time length);  // and from its peers, not from its workers
     void loseAnswers(double share) { lostAnswers_ = share; }
 
     [[nodiscard]] Checker& checker() { return checker_; }
     [[nodiscard]] std::string lastTold(const std::string& job) const;
     [[nodiscard]] std::size_t machinesUp() const;
     [[nodiscard]] Time now() const { return now_; }
+    [[nodiscard]] int nodeCount() const { return spec_.nodes; }
 
   private:
     friend class NodeClock;
@@ -111,6 +123,7 @@
     void serveCloud(const transport::HttpRequest& request, const transport::HttpReply& reply);
 
     Worker* worker(const std::string& id);
+    [[nodiscard]] std::map<std::string, std::string> hosts() const;  // with their zones
     void startWorker(Worker& worker);
     void report(Worker& worker);
     void reportSoon(Worker& worker);
@@ -149,6 +162,8 @@
     std::map<std::string, std::vector<std::string>> rentals_;
     int nextMachine_ = 0;
     double lostAnswers_ = 0;
+    double copiedShare_ = 0;
+    Time latestCopy_{};
 };
 
 }  // namespace fawnwheel::sim
