Gang lending: peers lend empty machines for a gang's start; ends of an attempt stay recorded

Of two gangs that each hold a part of what both need, the earlier in the queue's order gets all. Gangs ask peers for two seconds before machines are rented.

The scenario found a failure that had been there before: a gang that failed to be placed again forgot to record the ends of its last attempt.

--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -127,6 +127,7 @@
     std::optional<SteadyTime> noticeEnds;  // the cloud takes it then
     std::optional<SteadyTime> listed;      // seen in a list, at its receipt
     bool failedInList = false;
+    bool lending = false;     // its record is being changed to another part
     bool emptying = false;    // its tasks move together with others, then it is given back
     std::string reservedFor;  // job that room is kept for: others were stopped, or it is a gang
     std::uint32_t reservedTasks = 0;
--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -102,10 +102,16 @@
     const bool moved = !fresh && known->part != part;
     Machine& m = ledger.addMachine(id, part);
     if (fresh || moved) m.known = m.silentSince = m.idleSince = now;
+    if (moved) m.reservedUntil = {};
     m.lender.reset();
     if (value.contains("lender"))
         m.lender = static_cast<std::uint32_t>(countOf(value, "lender"));
     m.tokenFloor = countOf(value, "floor");
+    if (moved && m.tokenFloor > m.firstToken) {
+        // Lent or given back: the part it comes from has just heard it, and it is empty.
+        m.heard = now;
+        m.firstToken = m.token = m.expected = m.shown = m.tokenFloor;
+    }
     m.type = textOf(value, "type");
     m.zone = textOf(value, "zone");
     m.spot = flagOf(value, "spot");
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -26,6 +26,7 @@
       placement_(context_, membership_),
       reports_(context_, membership_, recorder_),
       fleet_(context_, membership_, committer_, placement_, reports_),
+      loans_(context_, membership_, committer_, placement_, reports_),
       moves_(context_, membership_, committer_, placement_),
       intake_(context_, membership_, moves_) {
     mirror_.inFlight = [this](const std::string& key) { return committer_.inFlight(key); };
@@ -87,6 +88,7 @@
             const auto unplaced = placement_.run(part);
             for (const auto& machine : placement_.preemptFor(part, unplaced))
                 reports_.stopMarked(machine);
+            loans_.askFor(part, unplaced);
             fleet_.rentFor(part, unplaced);
         }
         recorder_.flush(part);
@@ -107,6 +109,7 @@
     for (const auto part : membership_.activeParts()) {
         if (membership_.leaseStands()) reports_.expireSilent(part);
         fleet_.review(part);
+        if (membership_.leaseStands()) loans_.review(part);
         if (membership_.leaseStands() && fleet_.mayEmpty(part))
             if (const auto machine = placement_.emptyOne(part)) reports_.stopMarked(*machine);
     }
@@ -164,6 +167,8 @@
                 moves_.onAnswer(message);
             else if constexpr (std::is_same_v<Message, protocol::NoCapacity>)
                 fleet_.onNoCapacity(message);
+            else if constexpr (std::is_same_v<Message, protocol::LoanAsk>)
+                loans_.onAsk(peer, message);
         },
         envelope->message);
 }
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -4,6 +4,7 @@
 
 #include "coordination/fleet.h"
 #include "coordination/intake.h"
+#include "coordination/loans.h"
 #include "coordination/mirror.h"
 #include "coordination/moves.h"
 
@@ -35,6 +36,7 @@
     Placement placement_;
     Reports reports_;
     Fleet fleet_;
+    Loans loans_;
     Moves moves_;
     Intake intake_;
     bool workPlanned_ = false;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -19,6 +19,7 @@
 constexpr double listShareOfCalls = 0.2;
 constexpr auto firstRefusalPause = 8s;
 constexpr auto longestRefusalPause = 40s;
+constexpr auto loansFirst = 2s;
 constexpr auto refusalMemory = 30s;  // after a pause's end: there may be some again
 constexpr double lagMargin = 2.2;  // a list may lag by up to twice the stated time
 constexpr auto listMargin = 1s;
@@ -351,7 +352,10 @@
 void Fleet::rentForGang(std::uint32_t part, const Unplaced& entry, const Job& job) {
     // What it lacks, in the zone where it gathers, and kept for it from the start: machines rented
     // task by task lay in several zones and went to other work as they came up.
-    if (entry.tasks == 0 || rentingFor_.contains(entry.job)) return;
+    // Peers are asked for idle machines first.
+    if (entry.tasks == 0 || rentingFor_.contains(entry.job) ||
+        context_.now() - job.gatherSince < loansFirst)
+        return;
     const auto kind = cheapest(job, entry.tasks, entry.zone);
     if (!kind || asking(*kind)) return;
     const auto each = Placement::fitsIn(job, context_.type(kind->type)->capacity, entry.tasks);
@@ -657,7 +661,8 @@
             retire(machine, "does not hear");
         } else if (machine.emptying && machine.claims.empty()) {
             retire(machine, "emptied");
-        } else if (machine.claims.empty() && !machine.noticeEnds &&
+        } else if (machine.claims.empty() && !machine.noticeEnds && !machine.lender &&
+                   !machine.lending && now >= machine.reservedUntil &&
                    now - machine.idleSince > idleLimit(machine, *type)) {
             retire(machine, "idle");
         }
--- /dev/null
+++ b/src/coordination/loans.cpp
@@ -0,0 +1,174 @@
+#include "coordination/loans.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "bookkeeping/records.h"
+
+namespace fawnwheel::coordination {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto askPause = 2s;     // for one gang: until the loans show in the records
+constexpr auto unusedLoan = 5s;   // then it goes back
+constexpr auto longestAsked = 5min;
+
+}  // namespace
+
+void Loans::askFor(std::uint32_t part, const std::vector<Unplaced>& unplaced) {
+    const auto now = context_.now();
+    std::erase_if(asked_, [now](const auto& entry) { return now - entry.second > longestAsked; });
+    auto ledger = context_.ledger.lock();
+    for (const auto& entry : unplaced) {
+        // In the queue's order one gang of a zone is served before the next.
+        if (!entry.gang || entry.waitsTurn || entry.tasks == 0) continue;
+        const Job* job = ledger->job(entry.job);
+        if (job == nullptr || job->part != part) continue;
+        const auto asked = asked_.find(entry.job);
+        if (asked != asked_.end() && now - asked->second < askPause) continue;
+        std::vector<std::pair<std::uint32_t, std::uint32_t>> order;  // idle, part
+        std::uint32_t total = 0;
+        for (std::uint32_t other = 0; other < context_.partCount(); ++other) {
+            if (other == part || !ledger->nodes.contains(ledger->parts[other].owner)) continue;
+            std::uint32_t idle = 0;
+            for (const auto* machine : ledger->machinesOf(other)) {
+                const auto* type = context_.type(machine->type);
+                if (machine->claims.empty() && !machine->retired && machine->version != 0 &&
+                    type != nullptr && (entry.zone.empty() || machine->zone == entry.zone) &&
+                    Placement::typeAllowed(job->spec, *type, machine->zone, machine->spot))
+                    ++idle;
+            }
+            if (idle > 0) order.emplace_back(idle, other);
+            total += idle;
+        }
+        // Part of what it lacks is of no use to it unless the rest can come free or be rented, but
+        // asking costs little and unused loans go back.
+        if (total == 0) continue;
+        asked_[entry.job] = now;
+        std::sort(order.rbegin(), order.rend());
+        auto missing = entry.tasks;
+        for (const auto& [idle, other] : order) {
+            if (missing == 0) break;
+            const auto count = std::min(idle, missing);
+            missing -= count;
+            const protocol::LoanAsk ask{other, part, entry.job, entry.zone, count};
+            const auto& owner = ledger->parts[other].owner;
+            if (owner == context_.settings.name)
+                onAsk(owner, ask);
+            else
+                context_.network.sendFrame(
+                    owner, protocol::encodePeer({context_.settings.name, ask}));
+        }
+    }
+}
+
+bool Loans::before(const Job& one, const Job& other) const {
+    return std::tuple(one.spec.priority, placement_.latestStart(one), one.spec.id) <
+           std::tuple(other.spec.priority, placement_.latestStart(other), other.spec.id);
+}
+
+bool Loans::neededHere(Ledger& ledger, const Machine& machine, const Job& gang) const {
+    // Work that comes later may be passed over, also a later gang that gathers: of two gangs that
+    // each hold half of what both need, the earlier one gets all, so that neither waits for ever.
+    const auto* type = context_.type(machine.type);
+    return std::any_of(ledger.jobs.begin(), ledger.jobs.end(), [&](const auto& entry) {
+        const Job& job = entry.second;
+        if (&job == &gang || job.cancelled || job.finishing || job.part != machine.part ||
+            job.claimedTasks() + job.doneTasks() >= job.spec.tasks)
+            return false;
+        return Placement::typeAllowed(job.spec, *type, machine.zone, machine.spot) &&
+               before(job, gang);
+    });
+}
+
+void Loans::onAsk(const std::string& peer, const protocol::LoanAsk& ask) {
+    std::vector<std::string> lent;
+    {
+        auto ledger = context_.ledger.lock();
+        const Job* gang = ledger->job(ask.job);
+        if (gang == nullptr || gang->cancelled || gang->part != ask.borrower || gang->anyClaim() ||
+            ask.borrower >= context_.partCount() || ask.borrower == ask.lender ||
+            ledger->parts[ask.borrower].owner != peer || !membership_.active(ask.lender) ||
+            !membership_.leaseStands())
+            return;
+        for (const auto* machine : ledger->machinesOf(ask.lender)) {
+            if (lent.size() >= std::min<std::size_t>(ask.machines,
+                                                     context_.settings.transactionChanges))
+                break;
+            const auto* type = context_.type(machine->type);
+            if (!machine->claims.empty() || !placement_.takesWork(*machine) ||
+                (!ask.zone.empty() && machine->zone != ask.zone) ||
+                !Placement::typeAllowed(gang->spec, *type, machine->zone, machine->spot) ||
+                neededHere(*ledger, *machine, *gang))
+                continue;
+            lent.push_back(machine->id);
+        }
+    }
+    if (lent.empty()) return;
+    spdlog::info("loan: {} machines for gang {}, part {} to {}", lent.size(), ask.job, ask.lender,
+                 ask.borrower);
+    transfer(ask.lender, ask.borrower, lent);
+}
+
+void Loans::transfer(std::uint32_t from, std::uint32_t to,
+                     const std::vector<std::string>& machines) {
+    protocol::Transaction transaction;
+    {
+        auto ledger = context_.ledger.lock();
+        // The borrower's record is a condition: an owner that has changed since asks anew.
+        transaction.conditions.push_back(
+            {bookkeeping::keys::part(to), ledger->parts[to].version});
+        for (const auto& id : machines) {
+            Machine& machine = *ledger->machine(id);
+            machine.lending = true;  // no new work from now on
+            Machine next = machine;
+            next.part = to;
+            next.lender = machine.lender.value_or(from);
+            if (*next.lender == to) next.lender.reset();
+            // Above every token that its worker may have seen from us.
+            next.tokenFloor = machine.token + 1;
+            const auto key = bookkeeping::keys::machine(id);
+            transaction.conditions.push_back({key, machine.version});
+            transaction.changes.push_back({key, bookkeeping::machineValue(next), 0});
+        }
+    }
+    const auto changes = transaction.changes;
+    committer_.commit(
+        from, std::move(transaction),
+        [this, machines, changes](CommitResult result, std::uint64_t revision) {
+            auto ledger = context_.ledger.lock();
+            for (const auto& id : machines)
+                if (Machine* machine = ledger->machine(id)) machine->lending = false;
+            if (result != CommitResult::done) return;
+            for (const auto& change : changes)
+                bookkeeping::applyEvent(*ledger, {change.key, change.value, revision},
+                                        context_.now());
+            for (const auto& id : machines) reports_.sendOn(id);
+        });
+}
+
+void Loans::review(std::uint32_t part) {
+    const auto now = context_.now();
+    std::map<std::uint32_t, std::vector<std::string>> back;
+    {
+        auto ledger = context_.ledger.lock();
+        for (auto* machine : ledger->machinesOf(part)) {
+            if (!machine->lender || machine->lending || machine->retired) continue;
+            if (!machine->claims.empty() || now < machine->reservedUntil) {
+                machine->idleSince = now;
+                continue;
+            }
+            auto& names = back[*machine->lender];
+            if (now - machine->idleSince > unusedLoan &&
+                names.size() < context_.settings.transactionChanges)
+                names.push_back(machine->id);
+        }
+    }
+    for (const auto& [lender, names] : back)
+        if (!names.empty()) transfer(part, lender, names);
+}
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/loans.h
@@ -0,0 +1,42 @@
+// Lends machines between parts: a gang too large for what its own part has free starts on machines
+// that peers lend its owner for that start. A loan is one guarded change of the machine's record,
+// made by the lender while the machine is empty; from then on the borrower answers its worker, holds
+// its claims and their proofs, and gives it back when the gang has ended.
+#pragma once
+
+#include "coordination/placement.h"
+#include "coordination/reports.h"
+
+namespace fawnwheel::coordination {
+
+class Loans {
+  public:
+    Loans(Context& context, Membership& membership, Committer& committer, Placement& placement,
+          Reports& reports)
+        : context_(context),
+          membership_(membership),
+          committer_(committer),
+          placement_(placement),
+          reports_(reports) {}
+
+    // Asks peers, those with most idle machines first, for what the part's gangs lack.
+    void askFor(std::uint32_t part, const std::vector<Unplaced>& unplaced);
+    void onAsk(const std::string& peer, const protocol::LoanAsk& ask);
+    // Gives back what is no longer needed.
+    void review(std::uint32_t part);
+
+  private:
+    void transfer(std::uint32_t from, std::uint32_t to, const std::vector<std::string>& machines);
+    // Whether work of this part comes before the gang and could use the machine.
+    [[nodiscard]] bool neededHere(Ledger& ledger, const Machine& machine, const Job& gang) const;
+    [[nodiscard]] bool before(const Job& one, const Job& other) const;
+
+    Context& context_;
+    Membership& membership_;
+    Committer& committer_;
+    Placement& placement_;
+    Reports& reports_;
+    std::map<std::string, SteadyTime> asked_;  // by gang
+};
+
+}  // namespace fawnwheel::coordination
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -60,7 +60,7 @@
 
 bool Placement::takesWork(const Machine& machine) const {
     const auto now = context_.now();
-    return machine.version != 0 && machine.hears() && !machine.retired && !machine.emptying && !machine.noticeEnds && machine.heard &&
+    return machine.version != 0 && machine.hears() && !machine.lending && !machine.retired && !machine.emptying && !machine.noticeEnds && machine.heard &&
            now - *machine.heard < ticks(context_.settings.report * silentReports) &&
            now >= machine.notBefore;
 }
@@ -165,6 +165,8 @@
     const auto* type = context_.type(machine.type);
     if (type == nullptr || !typeAllowed(job.spec, *type, machine.zone, machine.spot)) return false;
     if (job.failedOn.contains(machine.id)) return false;
+    // A loan is for a gang's start only.
+    if (machine.lender && job.spec.kind != JobKind::gang) return false;
     if (job.spec.oneZone)
         for (const auto& [zone, count] : zoneUse)
             if (count > 0 && zone != machine.zone) return false;
@@ -443,7 +445,9 @@
         std::map<std::string, std::uint32_t> use;
         if (!zone.empty()) use[zone] = 1;  // holds the choice to this zone
         std::uint32_t placed = 0;
+        std::vector<bool> dirty;
         for (auto& slice : job.slices) {
+            dirty.push_back(slice.dirty);
             for (std::uint32_t i = 0; i < slice.done.size(); ++i) {
                 Machine* machine = choose(ledger, part, job, use);
                 if (machine == nullptr) break;
@@ -466,7 +470,9 @@
         }
         for (auto& slice : job.slices) {
             while (!slice.claims.empty()) ledger.removeClaim(job, slice, slice.claims.front().task);
-            slice.dirty = false;
+            // As it was: the ends of the attempt before may still wait to be recorded. Once they
+            // never were, and peers took the gang for running (scenario gang_lending).
+            slice.dirty = dirty[slice.index];
         }
     }
     return false;
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -382,6 +382,13 @@
     }
 }
 
+void Reports::sendOn(const std::string& name) {
+    auto ledger = context_.ledger.lock();
+    Machine* machine = ledger->machine(name);
+    // The order carries the token with which its new owner begins.
+    if (machine != nullptr) order(*machine, {});
+}
+
 void Reports::releaseClaims(Machine& machine, const char* why) {
     auto ledger = context_.ledger.lock();
     const auto claims = machine.claims;
--- a/src/coordination/reports.h
+++ b/src/coordination/reports.h
@@ -22,6 +22,8 @@
     // Makes the workers of these machines report soon: starts wait for them. Starts themselves go
     // out in answers to reports only, which are never executed late.
     void nudge(const std::set<std::string>& machines);
+    // A machine that has gone to another part: its worker is made to report, and is sent there.
+    void sendOn(const std::string& machine);
     // Sends stops straight to the machines of this job; the reports repeat them.
     void stopNow(const std::string& job);
     void stopMarked(const std::string& machine);
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -53,6 +53,15 @@
     visit(m.pauseMillis);
 }
 
+template <typename Visit>
+void fields(LoanAsk& m, Visit visit) {
+    visit(m.lender);
+    visit(m.borrower);
+    visit(m.job);
+    visit(m.zone);
+    visit(m.machines);
+}
+
 template <std::size_t Index = 0>
 bool readKind(std::uint64_t kind, VarintReader& in, PeerMessage& out) {
     if constexpr (Index < std::variant_size_v<PeerMessage>) {
--- a/src/protocol/peer_codec.h
+++ b/src/protocol/peer_codec.h
@@ -68,7 +68,16 @@
     std::uint64_t pauseMillis = 0;
 };
 
-using PeerMessage = std::variant<Status, MoveAsk, MoveAnswer, NoCapacity>;
+// "Lend my part machines for this gang." The answer is the change of the machines' records.
+struct LoanAsk {
+    std::uint32_t lender = 0;  // parts
+    std::uint32_t borrower = 0;
+    std::string job;
+    std::string zone;  // empty: any
+    std::uint32_t machines = 0;
+};
+
+using PeerMessage = std::variant<Status, MoveAsk, MoveAnswer, NoCapacity, LoanAsk>;
 
 struct PeerEnvelope {
     std::string sender;
--- a/tests/sim/checker.cpp
+++ b/tests/sim/checker.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr Time longestSilence{90};
+constexpr Time longestSilence{75};
+constexpr Time latestBegin{240};
 
 }  // namespace
 
@@ -14,8 +15,9 @@
     breaches_.push_back(rule + ": " + what);
 }
 
-void Checker::submitted(const protocol::JobSpec& spec) {
+void Checker::submitted(const protocol::JobSpec& spec, Time at) {
     jobs_[spec.id].spec = spec;
+    jobs_[spec.id].submittedAt = at;
 }
 
 void Checker::askedToCancel(const std::string& job) {
@@ -25,6 +27,7 @@
 void Checker::started(const std::string& id, std::uint32_t task, const Place& place, Time at) {
     ++starts_;
     JobTruth& job = jobs_[id];
+    if (!job.begunAt) job.begunAt = at;
     const auto name = id + "/" + std::to_string(task);
     for (const auto& [machine, other] : job.on[task])
         if (machine != place.machine)
@@ -116,10 +119,39 @@
 void Checker::pollFailed(const std::string& id, Time at) {
     const auto found = jobs_.find(id);
     if (found == jobs_.end() || !found->second.accepted) return;
-    if (at - found->second.answeredAt > longestSilence) {
+    if (at - std::max(found->second.answeredAt, quietSince_) > longestSilence) {
         breach("forgotten", id + " got no answer for long");
         found->second.answeredAt = at;
     }
 }
 
+void Checker::finish(Time at) {
+    std::map<std::string, Served> groups;
+    std::map<std::string, std::uint32_t> largest;
+    const auto counts = [&](const JobTruth& job) {
+        return job.accepted && !job.cancelAsked && job.submittedAt + latestBegin <= at;
+    };
+    for (const auto& [id, job] : jobs_)
+        if (counts(job)) {
+            auto& most = largest[job.spec.jobClass];
+            most = std::max(most, job.spec.tasks);
+        }
+    for (const auto& [id, job] : jobs_) {
+        if (!counts(job)) continue;
+        const auto& spec = job.spec;
+        for (const auto& group : {"class " + spec.jobClass, "team " + spec.team}) {
+            ++groups[group].jobs;
+            if (job.begunAt) ++groups[group].served;
+        }
+        if (spec.tasks < largest[spec.jobClass]) continue;
+        auto& group = groups["the largest of class " + spec.jobClass];
+        ++group.jobs;
+        if (job.begunAt && *job.begunAt <= job.submittedAt + latestBegin) ++group.served;
+    }
+    for (const auto& [name, group] : groups)
+        if (group.served * 2 < group.jobs)
+            breach("unserved", name + ": " + std::to_string(group.served) + " of " +
+                                   std::to_string(group.jobs));
+}
+
 }  // namespace fawnwheel::sim
--- a/tests/sim/checker.h
+++ b/tests/sim/checker.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,12 +28,15 @@
         : teams_(std::move(teams)), cancelLimit_(cancelLimit) {}
 
     // From the world: what truly happens.
-    void submitted(const protocol::JobSpec& spec);
+    void submitted(const protocol::JobSpec& spec, Time at);
+    void troubledUntil(Time at) { quietSince_ = std::max(quietSince_, at); }
     void askedToCancel(const std::string& job);
     void started(const std::string& job, std::uint32_t task, const Place& place, Time at);
     void ended(const std::string& job, std::uint32_t task, const std::string& machine,
                bool completed);
     void tick(Time at);
+    // The day is over: whether enough of each class, team and size was served.
+    void finish(Time at);
 
     // From the users: what they were answered.
     void told(const std::string& job, const std::string& state, Time at);
@@ -52,14 +56,21 @@
         std::string final;  // told
         Time cancelledAt{};
         Time answeredAt{};
+        Time submittedAt{};
+        std::optional<Time> begunAt;
         std::set<std::uint32_t> done;
         std::map<std::uint32_t, std::map<std::string, Place>> on;  // task -> machine
     };
 
+    struct Served {
+        int jobs = 0;
+        int served = 0;
+    };
     void breach(const std::string& rule, const std::string& what);
 
     std::vector<app::Team> teams_;
     Time cancelLimit_;
+    Time quietSince_{};  // all troubles are over
     std::map<std::string, JobTruth> jobs_;
     std::vector<std::string> breaches_;
     std::size_t starts_ = 0;
--- a/tests/sim/scenario_main.cpp
+++ b/tests/sim/scenario_main.cpp
@@ -42,7 +42,7 @@
 protocol::JobSpec jobFrom(const Line& line, std::size_t from) {
     protocol::JobSpec spec;
     spec.id = line.at(from);
-    spec.jobClass = "test";
+    spec.jobClass = line.text("class", "test");
     spec.team = line.text("team", "crew");
     const auto kind = line.text("kind", "array");
     spec.kind = kind == "gang"      ? protocol::JobKind::gang
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -213,6 +213,7 @@
         node.mapped()();
     }
     now_ = until;
+    checker_.finish(until);
 }
 
 void World::startNode(int index) {
@@ -232,6 +233,7 @@
     node.ended.push_back(std::move(node.controller));
     node.endedClocks.push_back(std::move(node.clock));
     node.endedNetworks.push_back(std::move(node.network));
+    checker_.troubledUntil(now_ + down + startUp);
     at(now_ + down + startUp, [this, index] { startNode(index); });
 }
 
@@ -339,18 +341,21 @@
 
 void World::cut(const std::string& one, const std::string& other, Time length, bool hold) {
     cuts_[std::minmax(one, other)] = {now_ + length, hold};
+    checker_.troubledUntil(now_ + length);
 }
 
 // ---- the state service
 
 void World::stateOutage(Time length) {
     stateBackAt_ = now_ + length;
+    checker_.troubledUntil(stateBackAt_);
     for (auto& [id, hold] : holds_) hold.first = stateBackAt_ + hold.second;
     at(stateBackAt_, [this] { answerWatches(); });
 }
 
 void World::refuseState(int node, Time length) {
     refusedUntil_["node-" + std::to_string(node)] = now_ + length;
+    checker_.troubledUntil(now_ + length);
 }
 
 void World::expireHolds() {
@@ -491,6 +496,7 @@
 
 void World::cloudOutage(Time length) {
     cloudBackAt_ = now_ + length;
+    checker_.troubledUntil(cloudBackAt_);
 }
 
 void World::serveCloud(const HttpRequest& request, const HttpReply& reply) {
@@ -890,7 +896,7 @@
     truth.runs = runs;
     truth.faulty = faulty;
     truth.submitted = true;
-    checker_.submitted(spec);
+    checker_.submitted(spec, now_);
     sendSubmit(spec.id, now_);
 }
 
--- a/tests/unit/checker_test.cpp
+++ b/tests/unit/checker_test.cpp
@@ -15,7 +15,7 @@
         spec.each = {2, 0, 1};
         spec.types = {{"small"}};
         spec.zone = "a";
-        checker.submitted(spec);
+        checker.submitted(spec, Time(0));
     }
     void expectOnly(const std::string& rule) {
         ASSERT_EQ(checker.breaches().size(), 1U);
@@ -61,7 +61,7 @@
     spec.id = "run-2";
     spec.each = {0.5, 0, 1};
     spec.spread = true;
-    checker.submitted(spec);
+    checker.submitted(spec, Time(0));
     for (std::uint32_t task = 0; task < 3; ++task) checker.started("run-2", task, here, Time(1));
     expectOnly("wrong_place");
 }
@@ -86,9 +86,9 @@
 }
 TEST_F(Planted, ForgottenBySilence) {
     checker.told("run-1", "pending", Time(1));
-    checker.pollFailed("run-1", Time(80));
+    checker.pollFailed("run-1", Time(70));
     EXPECT_TRUE(checker.breaches().empty());
-    checker.pollFailed("run-1", Time(92));
+    checker.pollFailed("run-1", Time(77));
     expectOnly("forgotten");
 }
 TEST_F(Planted, Invented) {
@@ -110,5 +110,26 @@
     expectOnly("went_back");
 }
 
+TEST_F(Planted, SilentAfterTroubles) {
+    checker.told("run-1", "pending", Time(1));
+    checker.troubledUntil(Time(100));
+    checker.pollFailed("run-1", Time(174));
+    EXPECT_TRUE(checker.breaches().empty());
+    checker.pollFailed("run-1", Time(176));
+    expectOnly("forgotten");
+}
+TEST_F(Planted, ClassTeamAndLargestUnserved) {
+    checker.told("run-1", "pending", Time(1));
+    checker.finish(Time(300));
+    ASSERT_EQ(checker.breaches().size(), 3U);
+    for (const auto& breach : checker.breaches()) EXPECT_TRUE(breach.starts_with("unserved:"));
+}
+TEST_F(Planted, LargestBeginTooLate) {
+    checker.told("run-1", "pending", Time(1));
+    checker.started("run-1", 0, here, Time(250));
+    checker.finish(Time(300));
+    expectOnly("unserved");
+}
+
 }  // namespace
 }  // namespace fawnwheel::sim
--- a/tests/unit/peer_codec_test.cpp
+++ b/tests/unit/peer_codec_test.cpp
@@ -34,6 +34,12 @@
     EXPECT_EQ(full.zone, "a");
     EXPECT_TRUE(full.spot);
     EXPECT_EQ(full.pauseMillis, 8000U);
+    const auto loan = roundTrip(LoanAsk{1, 4, "run-2", "b", 12});
+    EXPECT_EQ(loan.lender, 1U);
+    EXPECT_EQ(loan.borrower, 4U);
+    EXPECT_EQ(loan.job, "run-2");
+    EXPECT_EQ(loan.zone, "b");
+    EXPECT_EQ(loan.machines, 12U);
 }
 
 TEST(PeerCodec, RefusesOtherVersionsKindsAndTrailingBytes) {
