--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -25,7 +25,6 @@
 constexpr Seconds riskMargin{10};
 constexpr auto reservation = std::chrono::seconds(20);  // to save, report and be placed
 constexpr double fetchWorth = 5;
-constexpr double brokenRoomSeconds = 60;  // what taking a waiting gang's room counts as
 constexpr auto gatherRenewal = std::chrono::seconds(3);
 constexpr auto gatherPatience = std::chrono::seconds(90);  // in one zone
 constexpr std::uint32_t mostPreempted = 4;
@@ -346,33 +345,13 @@
            });
 }
 
-bool Placement::breaksUpRoom(const Job& job, const Machine& machine,
-                             const MachineType& type) const {
-    // Small work that is not pressed spreads beside the gangs' tasks instead of filling machines
-    // one by one: what has a few of each can run far more of both.
-    Resources room = type.capacity;
-    room -= machine.used;
-    Resources after = room;
-    after -= job.spec.each;
-    return std::any_of(waitingGangs_.begin(), waitingGangs_.end(), [&](const Job* gang) {
-        // Higher priorities can stop this work, and lower ones have to wait.
-        return gang->spec.priority == job.spec.priority && gang != &job &&
-               typeAllowed(gang->spec, type, machine.zone, machine.spot) &&
-               fitsIn(*gang, room, gang->spec.tasks) > fitsIn(*gang, after, gang->spec.tasks);
-    });
-}
-
 Machine* Placement::choose(Ledger& ledger, std::uint32_t part, const Job& job,
                            const std::map<std::string, std::uint32_t>& zoneUse) {
     Machine* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
-    const bool pressed = job.spec.kind == JobKind::gang || atRisk(job);
     for (auto* machine : ledger.machinesOf(part)) {
         if (!takesWork(*machine) || !allowed(job, *machine, zoneUse)) continue;
-        const auto& type = *context_.type(machine->type);
-        const bool breaks = breaksUpRoom(job, *machine, type);
-        if (breaks && !pressed) continue;
-        const double value = cost(ledger, job, *machine, type) + (breaks ? brokenRoomSeconds : 0);
+        const double value = cost(ledger, job, *machine, *context_.type(machine->type));
         if (value < bestCost) {
             bestCost = value;
             best = machine;
@@ -505,17 +484,7 @@
     std::map<std::string, Resources> left;
     std::set<std::string> blockedZones;
     dropReservations(*ledger, part);
-    auto readyNow = readyJobs(*ledger, part);
-    waitingGangs_.clear();
-    for (const auto& ready : readyNow) {
-        const auto& spec = ready.job->spec;
-        const bool known =
-            std::any_of(waitingGangs_.begin(), waitingGangs_.end(), [&](const Job* gang) {
-                return gang->spec.priority == spec.priority && gang->spec.each == spec.each;
-            });
-        if (spec.kind == JobKind::gang && !known) waitingGangs_.push_back(ready.job);
-    }
-    for (auto& ready : readyNow) {
+    for (auto& ready : readyJobs(*ledger, part)) {
         Job& job = *ready.job;
         const auto& team = job.spec.team;
         if (!left.contains(team)) left[team] = teamLeft(*ledger, team, part);
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -89,9 +89,6 @@
     bool canEmpty(Ledger& ledger, const Machine& machine, std::vector<Claim*>& claims);
     bool makeRoom(Ledger& ledger, std::uint32_t part, const Job& job,
                   std::set<std::string>& machines);
-    // Whether a task of the job would take room in which a gang that waits could start.
-    [[nodiscard]] bool breaksUpRoom(const Job& job, const Machine& machine,
-                                    const MachineType& type) const;
     Machine* choose(Ledger& ledger, std::uint32_t part, const Job& job,
                     const std::map<std::string, std::uint32_t>& zoneUse);
     [[nodiscard]] bool allowed(const Job& job, const Machine& machine,
@@ -107,7 +104,6 @@
     Context& context_;
     Membership& membership_;
     std::uint64_t sequence_ = 0;
-    std::vector<const Job*> waitingGangs_;  // of the part that is being placed, one of each size
 };
 
 std::map<std::string, std::uint32_t> zoneUseOf(const Ledger& ledger, const Job& job);
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -24,7 +24,6 @@
     Resources& operator+=(const Resources& other);
     Resources& operator-=(const Resources& other);
     [[nodiscard]] bool fits(const Resources& room) const;
-    bool operator==(const Resources&) const = default;
 };
 
 struct JobSpec {
