--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -40,6 +40,7 @@
 }  // namespace
 
 void Fleet::start() {
+    setUpWrites();
     loadCatalog();
     listMachines();
 }
@@ -196,17 +197,18 @@
     return &machine;
 }
 
-void Fleet::record(std::uint32_t part, const std::string& id) {
-    if (!recording_.insert(id).second) return;
-    toRecord_[part].push_back(id);
-    recordSome(part);
+void Fleet::write(RecordWrites& writes, std::uint32_t part, const std::string& id) {
+    if (!writes.pending.insert(id).second) return;
+    writes.queues[part].push_back(id);
+    writeSome(writes, part);
 }
 
-void Fleet::recordSome(std::uint32_t part) {
+void Fleet::writeSome(RecordWrites& writes, std::uint32_t part) {
     // Many in one transaction, and half of what it may hold, so that claims don't wait for long.
-    // With one write after the other a thousand machines took minutes.
-    auto& queue = toRecord_[part];
-    if (queue.empty() || !recordsUnderWay_.insert(part).second) return;
+    // With one write after the other a thousand machines took minutes to record, and idle ones
+    // to be given back.
+    auto& queue = writes.queues[part];
+    if (queue.empty() || !writes.underWay.insert(part).second) return;
     const auto most = std::max<std::size_t>(1, context_.settings.transactionChanges / 2);
     protocol::Transaction transaction;
     std::vector<std::string> ids;
@@ -216,39 +218,62 @@
             const auto id = std::move(queue.front());
             queue.pop_front();
             const Machine* machine = ledger->machine(id);
-            if (machine == nullptr || machine->version != 0) {
-                recording_.erase(id);
+            if (machine == nullptr || machine->part != part) {
+                writes.pending.erase(id);
                 continue;
             }
             const auto key = bookkeeping::keys::machine(id);
-            transaction.conditions.push_back({key, 0});
-            transaction.changes.push_back({key, bookkeeping::machineValue(*machine), 0});
+            transaction.conditions.push_back({key, machine->version});
+            transaction.changes.push_back({key, writes.value(*machine), 0});
             ids.push_back(id);
         }
     }
     if (ids.empty()) {
-        recordsUnderWay_.erase(part);
+        writes.underWay.erase(part);
         return;
     }
     committer_.commit(part, std::move(transaction),
-                      [this, part, ids](CommitResult result, std::uint64_t revision) {
-                          recordsUnderWay_.erase(part);
+                      [this, &writes, part, ids](CommitResult result, std::uint64_t revision) {
+                          writes.underWay.erase(part);
                           for (const auto& id : ids) {
-                              recording_.erase(id);
+                              writes.pending.erase(id);
                               auto ledger = context_.ledger.lock();
                               Machine* machine = ledger->machine(id);
-                              if (machine == nullptr) continue;
-                              if (result == CommitResult::done)
-                                  machine->version = std::max(machine->version, revision);
-                              else if (machine->version == 0 && result == CommitResult::conflict)
-                                  // Another of the batch has a record; this one is tried again.
-                                  record(part, id);
+                              if (machine != nullptr)
+                                  writes.settled(*machine, result, revision);
                           }
                           onAnswer();
-                          recordSome(part);
+                          writeSome(writes, part);
                       });
 }
 
+void Fleet::setUpWrites() {
+    recording_.value = [](const Machine& machine) { return bookkeeping::machineValue(machine); };
+    recording_.settled = [this](Machine& machine, CommitResult result, std::uint64_t revision) {
+        if (result == CommitResult::done)
+            machine.version = std::max(machine.version, revision);
+        else if (machine.version == 0 && result == CommitResult::conflict)
+            // Another of the batch has a record; this one is tried again.
+            write(recording_, machine.part, machine.id);
+    };
+    retiring_.value = [](const Machine& machine) {
+        Machine retired = machine;
+        retired.retired = true;
+        return bookkeeping::machineValue(retired);
+    };
+    retiring_.settled = [](Machine& machine, CommitResult result, std::uint64_t revision) {
+        if (result == CommitResult::done)
+            machine.version = std::max(machine.version, revision);
+        else
+            machine.retired = false;
+    };
+    dropping_.value = [](const Machine&) { return std::optional<protocol::Json>(); };
+    dropping_.settled = [this](Machine& machine, CommitResult result, std::uint64_t) {
+        if (result == CommitResult::done)
+            context_.ledger.lock()->dropMachine(std::string(machine.id));
+    };
+}
+
 bool Fleet::wantedByAny(const Ledger& ledger, const Machine& machine,
                         const MachineType& type) const {
     return std::any_of(ledger.jobs.begin(), ledger.jobs.end(), [&](const auto& entry) {
@@ -258,11 +283,11 @@
 
 void Fleet::reviewUnrecorded(std::uint32_t part, Machine& machine, const MachineType& type) {
     const auto now = context_.now();
-    if (recording_.contains(machine.id)) return;
+    if (recording_.pending.contains(machine.id)) return;
     // What only late copies of reports speak of, or can't hear, is of no use.
     const bool ghost = !machine.hears() && now - machine.known > ticks(context_.settings.lease);
     if (machine.hears() && wantedByAny(*context_.ledger.lock(), machine, type)) {
-        record(part, machine.id);
+        write(recording_, part, machine.id);
     } else if (ghost || now - machine.idleSince > idleLimit(machine, type)) {
         // It never had work, and no claim can name it: it needs no record to be given back.
         spdlog::debug("machine {}: giving back, never wanted", machine.id);
@@ -396,7 +421,7 @@
                                         *machine, *job,
                                         Placement::fitsIn(*job, type->capacity, job->spec.tasks),
                                         ticks(type->bootTime * lateBoot) + bootGrace);
-                                record(part, id);
+                                write(recording_, part, id);
                             }
                             if (static_cast<int>(machines.size()) < count)
                                 noteRefusal(kind);
@@ -449,35 +474,23 @@
 }
 
 void Fleet::retire(Machine& machine, const char* why) {
-    if (machine.retired || !retiring_.insert(machine.id).second) return;
+    if (machine.retired || retiring_.pending.contains(machine.id)) return;
     spdlog::info("machine {}: giving back, {}", machine.id, why);
-    Machine record = machine;
-    record.retired = true;
     machine.retired = true;  // no new claims from now on
-    committer_.commit(
-        machine.part,
-        {{{bookkeeping::keys::machine(machine.id), machine.version}},
-         {{bookkeeping::keys::machine(machine.id), bookkeeping::machineValue(record), 0}}},
-        [this, id = machine.id](CommitResult result, std::uint64_t revision) {
-            retiring_.erase(id);
-            auto ledger = context_.ledger.lock();
-            Machine* m = ledger->machine(id);
-            if (m == nullptr) return;
-            if (result == CommitResult::done)
-                m->version = std::max(m->version, revision);
-            else
-                m->retired = false;
-        });
+    write(retiring_, machine.part, machine.id);
 }
 
 void Fleet::release() {
+    // One call at a time, for all that has gathered meanwhile: calls are few, and with one for each
+    // machine hundreds of idle ones stayed for minutes.
+    if (!releasing_.empty()) return;
     std::vector<std::string> names;
     auto ledger = context_.ledger.lock();
     for (const auto part : membership_.activeParts())
         for (const auto* machine : ledger->machinesOf(part)) {
             // Only after the record says so, durably: a late copy of the request must not hit a
             // machine that has work again.
-            if (machine->retired && !retiring_.contains(machine->id) &&
+            if (machine->retired && !retiring_.pending.contains(machine->id) &&
                 names.size() < maxReleaseAtOnce && releasing_.insert(machine->id).second)
                 names.push_back(machine->id);
         }
@@ -498,17 +511,10 @@
 void Fleet::forgetMachine(std::uint32_t part, const std::string& id) {
     auto ledger = context_.ledger.lock();
     const Machine* machine = ledger->machine(id);
-    if (machine != nullptr && machine->version == 0 && !recording_.contains(id))
-        return ledger->dropMachine(id);
     // While a claim on it is being written, its end can't be recorded.
-    if (machine == nullptr || !machine->claims.empty() || !dropping_.insert(id).second) return;
-    committer_.commit(part,
-                      {{{bookkeeping::keys::machine(id), machine->version}},
-                       {{bookkeeping::keys::machine(id), std::nullopt, 0}}},
-                      [this, id](CommitResult result, std::uint64_t) {
-                          dropping_.erase(id);
-                          if (result == CommitResult::done) context_.ledger.lock()->dropMachine(id);
-                      });
+    if (machine == nullptr || !machine->claims.empty()) return;
+    if (machine->version == 0 && !recording_.pending.contains(id)) return ledger->dropMachine(id);
+    write(dropping_, part, id);
 }
 
 void Fleet::noteClasses(const Ledger& ledger) {
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -53,8 +53,17 @@
     void takeInList(SteadyTime asked, const std::vector<protocol::CloudMachine>& machines);
     Machine* note(const std::string& id, const std::string& type, const std::string& zone,
                   bool spot, std::uint32_t part);
-    void record(std::uint32_t part, const std::string& id);
-    void recordSome(std::uint32_t part);
+    // Machines' records of one kind of change, written many at a time.
+    struct RecordWrites {
+        std::map<std::uint32_t, std::deque<std::string>> queues;  // by part
+        std::set<std::uint32_t> underWay;                         // parts
+        std::set<std::string> pending;                            // queued or under way
+        std::function<std::optional<protocol::Json>(const Machine&)> value;
+        std::function<void(Machine&, CommitResult, std::uint64_t revision)> settled;
+    };
+    void setUpWrites();
+    void write(RecordWrites& writes, std::uint32_t part, const std::string& id);
+    void writeSome(RecordWrites& writes, std::uint32_t part);
     void reviewUnrecorded(std::uint32_t part, Machine& machine, const MachineType& type);
     [[nodiscard]] bool wantedByAny(const Ledger& ledger, const Machine& machine,
                                    const MachineType& type) const;
@@ -96,12 +105,10 @@
     std::map<std::uint32_t, std::map<Kind, int>> asked_;  // rentals under way
     std::set<std::string> rentingFor_;                    // gangs
     std::map<std::string, Found> unassigned_;
-    std::set<std::string> recording_;                             // queued or under way
-    std::map<std::uint32_t, std::deque<std::string>> toRecord_;   // by part
-    std::set<std::uint32_t> recordsUnderWay_;
-    std::set<std::string> retiring_;
-    std::set<std::string> releasing_;
-    std::set<std::string> dropping_;
+    RecordWrites recording_;
+    RecordWrites retiring_;
+    RecordWrites dropping_;
+    std::set<std::string> releasing_;  // by the call under way
     std::map<std::uint32_t, SteadyTime> useLogged_;
     std::uint64_t rentals_ = 0;
     bool catalogLoaded_ = false;
