--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -27,7 +27,6 @@
 constexpr double neverBoots = 4.0;  // times the stated boot time
 constexpr auto bootGrace = 20s;
 constexpr double lateBoot = 2.0;  // no longer counted on
-constexpr double slowBoot = 1.5;  // still usual
 constexpr auto silentRelease = 15s;
 constexpr double silentReports = 3.5;  // and no sooner than after so many missed reports
 constexpr Seconds leastCharge{60};
@@ -543,9 +542,7 @@
         for (const auto& type : context_.catalog) {
             if (!Placement::typeAllowed(spec, type, spec.zone.value_or(""), false)) continue;
             seen.types.insert(type.name);
-            inTime = inTime || type.bootTime * slowBoot + Seconds(spec.imageSize / type.fetchRate) +
-                                       context_.settings.report * 2 <
-                                   *slack;
+            inTime = inTime || type.bootTime + Seconds(spec.imageSize / type.fetchRate) < *slack;
         }
         if (!inTime) ++seen.pressed;
     }
