--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -598,8 +598,9 @@
 bool Fleet::standsReady(const Machine& machine) const {
     // What a team is guaranteed is kept at hand: it need not wait for others, nor for a boot.
     if (const auto* type = context_.type(machine.type);
-        type != nullptr && (type->capacity.gpus > 0 ? upGpus_ <= guaranteed_.gpus
-                                                    : upCpus_ <= guaranteed_.cpus))
+        type != nullptr &&
+        (type->capacity.gpus > 0 ? guaranteed_.gpus > 0 && upGpus_ <= guaranteed_.gpus
+                                 : guaranteed_.cpus > 0 && upCpus_ <= guaranteed_.cpus))
         return true;
     return std::any_of(standing_.begin(), standing_.end(), [&](const auto& entry) {
         return entry.second.types.contains(machine.type) &&
