--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -67,6 +67,7 @@
     SteadyTime notBefore{};  // backing off
     int failures = 0;
     std::set<std::string> failedOn;
+    bool classed = false;         // counted among its class
     SteadyTime preemptedUntil{};  // others have been stopped for it
     std::string gatherZone;  // where a waiting gang that must stay in one zone gathers machines
     SteadyTime gatherSince{};
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -335,7 +335,9 @@
     auto ledger = context_.ledger.lock();
     for (const auto* machine : ledger->machinesOf(part)) {
         const auto* type = context_.type(machine->type);
-        if (machine->retired || machine->heard || type == nullptr ||
+        // Those that are up and not yet recorded or proved are as good as booting.
+        const bool inUse = machine->heard && machine->version != 0 && machine->hears();
+        if (machine->retired || inUse || type == nullptr ||
             now - machine->known > ticks(type->bootTime * lateBoot) + bootGrace)
             continue;
         coming.push_back({{machine->type, machine->zone, machine->spot}, type->capacity});
@@ -516,17 +518,15 @@
     write(dropping_, part, id);
 }
 
-void Fleet::noteClasses(const Ledger& ledger) {
+void Fleet::noteClasses(Ledger& ledger) {
     // A class most of whose jobs have aims that leave no time to boot a machine and fetch the
     // image needs machines that stand ready between its jobs.
-    struct Seen {
-        int jobs = 0;
-        int pressed = 0;
-        std::set<std::string> types;
-    };
-    std::map<std::string, Seen> classes;
-    for (const auto& [id, job] : ledger.jobs) {
+    for (auto& [id, job] : ledger.jobs) {
         const auto& spec = job.spec;
+        auto& seen = standing_[spec.jobClass];
+        seen.lastSeen = context_.now();
+        // Each counts once: the few jobs of a quiet hour are no majority.
+        if (std::exchange(job.classed, true)) continue;
         std::optional<Seconds> slack;
         const auto consider = [&slack](Seconds s) { slack = slack ? std::min(*slack, s) : s; };
         for (const auto& objective : context_.settings.objectives) {
@@ -536,7 +536,6 @@
                 consider(objective.within - spec.estimate);
         }
         if (spec.deadline) consider(*spec.deadline - spec.estimate);
-        auto& seen = classes[spec.jobClass];
         ++seen.jobs;
         bool inTime = !slack;
         for (const auto& type : context_.catalog) {
@@ -546,10 +545,6 @@
         }
         if (!inTime) ++seen.pressed;
     }
-    for (auto& [name, seen] : classes) {
-        if (seen.pressed * 2 <= seen.jobs) seen.types.clear();
-        standing_[name] = {std::move(seen.types), context_.now()};
-    }
 }
 
 void Fleet::logUse(const Ledger& ledger, std::uint32_t part) {
@@ -603,7 +598,8 @@
                                  : guaranteed_.cpus > 0 && upCpus_ <= guaranteed_.cpus))
         return true;
     return std::any_of(standing_.begin(), standing_.end(), [&](const auto& entry) {
-        return entry.second.types.contains(machine.type) &&
+        return entry.second.pressed * 2 > entry.second.jobs &&
+               entry.second.types.contains(machine.type) &&
                context_.now() - entry.second.lastSeen < classMemory;
     });
 }
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -26,7 +26,7 @@
     void rentFor(std::uint32_t part, const std::vector<Unplaced>& unplaced);
     [[nodiscard]] bool rentable(const Job& job, const std::string& zone) const;
     void onNoCapacity(const protocol::NoCapacity& message);
-    void noteClasses(const Ledger& ledger);
+    void noteClasses(Ledger& ledger);
     // Whether it may be worth emptying this part's machines: nothing waits, and those that
     // would be given back need not stand ready.
     [[nodiscard]] bool mayEmpty(std::uint32_t part);
@@ -94,7 +94,9 @@
         Duration pause{};
     };
     struct Standing {
-        std::set<std::string> types;  // worth keeping ready
+        int jobs = 0;
+        int pressed = 0;              // can't wait for a boot
+        std::set<std::string> types;  // that could run them
         SteadyTime lastSeen{};
     };
     Resources guaranteed_;  // to all teams
