Shares of a team's limit move between parts by guarded transactions

Each part had an even, fixed share: a gang that fits the limit but no share waited for ever. Now a part asks peers; the one that gives stops using it before the change is sent, the one that gets uses it once it is recorded, so that the shares always add up to the limit.

--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -173,6 +173,8 @@
     // team -> part -> share
     std::map<std::string, std::map<std::uint32_t, TeamShare>> shares;
     std::map<std::string, std::uint64_t> shareVersions;
+    // Not durable: team -> what is being given away by a part of ours.
+    std::map<std::string, std::pair<std::uint32_t, TeamShare>> sharesLeaving;
     std::vector<protocol::MachineType> catalog;  // as last recorded
     std::uint64_t catalogVersion = 0;
     std::set<std::string> goneMachines;  // their records went after proof; names never return
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -27,6 +27,7 @@
       reports_(context_, membership_, recorder_),
       fleet_(context_, membership_, committer_, placement_, reports_),
       loans_(context_, membership_, committer_, placement_, reports_),
+      shares_(context_, membership_, committer_, placement_),
       moves_(context_, membership_, committer_, placement_),
       intake_(context_, membership_, moves_) {
     mirror_.inFlight = [this](const std::string& key) { return committer_.inFlight(key); };
@@ -89,6 +90,7 @@
             for (const auto& machine : placement_.preemptFor(part, unplaced))
                 reports_.stopMarked(machine);
             loans_.askFor(part, unplaced);
+            shares_.askFor(part, unplaced);
             fleet_.rentFor(part, unplaced);
         }
         recorder_.flush(part);
@@ -169,6 +171,8 @@
                 fleet_.onNoCapacity(message);
             else if constexpr (std::is_same_v<Message, protocol::LoanAsk>)
                 loans_.onAsk(peer, message);
+            else if constexpr (std::is_same_v<Message, protocol::ShareAsk>)
+                shares_.onAsk(peer, message);
         },
         envelope->message);
 }
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -7,6 +7,7 @@
 #include "coordination/loans.h"
 #include "coordination/mirror.h"
 #include "coordination/moves.h"
+#include "coordination/shares.h"
 
 namespace fawnwheel::coordination {
 
@@ -37,6 +38,7 @@
     Reports reports_;
     Fleet fleet_;
     Loans loans_;
+    Shares shares_;
     Moves moves_;
     Intake intake_;
     bool workPlanned_ = false;
--- a/src/coordination/loans.cpp
+++ b/src/coordination/loans.cpp
@@ -65,11 +65,6 @@
     }
 }
 
-bool Loans::before(const Job& one, const Job& other) const {
-    return std::tuple(one.spec.priority, placement_.latestStart(one), one.spec.id) <
-           std::tuple(other.spec.priority, placement_.latestStart(other), other.spec.id);
-}
-
 bool Loans::neededHere(Ledger& ledger, const Machine& machine, const Job& gang) const {
     // Work that comes later may be passed over, also a later gang that gathers: of two gangs that
     // each hold half of what both need, the earlier one gets all, so that neither waits for ever.
@@ -80,7 +75,7 @@
             job.claimedTasks() + job.doneTasks() >= job.spec.tasks)
             return false;
         return Placement::typeAllowed(job.spec, *type, machine.zone, machine.spot) &&
-               before(job, gang);
+               placement_.before(job, gang);
     });
 }
 
--- a/src/coordination/loans.h
+++ b/src/coordination/loans.h
@@ -29,7 +29,6 @@
     void transfer(std::uint32_t from, std::uint32_t to, const std::vector<std::string>& machines);
     // Whether work of this part comes before the gang and could use the machine.
     [[nodiscard]] bool neededHere(Ledger& ledger, const Machine& machine, const Job& gang) const;
-    [[nodiscard]] bool before(const Job& one, const Job& other) const;
 
     Context& context_;
     Membership& membership_;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace fawnwheel::coordination {
@@ -14,6 +15,7 @@
 
 constexpr double silentReports = 2.5;  // no new work after so many missed reports
 constexpr double unlimited = 1e12;
+constexpr double shareSlack = 1e-6;
 constexpr std::uint32_t placementsPerRun = 64;
 constexpr double sharedFetch = 0.4;    // of a fetch that another task has begun
 constexpr double idleGpuSeconds = 25;  // what using up a GPU machine's CPUs counts as
@@ -104,21 +106,48 @@
     return (membership_.term(part) << taskBits) | (++sequence_ & ((1U << taskBits) - 1));
 }
 
+bookkeeping::TeamShare Placement::shareOf(const Ledger& ledger, const app::Team& team,
+                                          std::uint32_t part) const {
+    const auto parts = static_cast<double>(context_.partCount());
+    bookkeeping::TeamShare share{team.cpusMax / parts, team.gpusMax / parts};
+    const auto known = ledger.shares.find(team.name);
+    if (known == ledger.shares.end() || !known->second.contains(part)) return share;
+    bookkeeping::TeamShare total;
+    for (const auto& [number, recorded] : known->second) {
+        total.cpus += recorded.cpus;
+        total.gpus += recorded.gpus;
+    }
+    const auto& mine = known->second.at(part);
+    // Recorded for another limit or other parts: the lesser of both never exceeds the limit.
+    const bool fits = known->second.size() == context_.partCount() &&
+                      std::abs(total.cpus - team.cpusMax) < shareSlack &&
+                      std::abs(total.gpus - team.gpusMax) < shareSlack;
+    return fits ? mine
+                : bookkeeping::TeamShare{std::min(share.cpus, mine.cpus),
+                                         std::min(share.gpus, mine.gpus)};
+}
+
 Resources Placement::teamLeft(Ledger& ledger, const std::string& name, std::uint32_t part) const {
     Resources left{unlimited, unlimited, unlimited};
     const auto* team = context_.team(name);
     if (team == nullptr) return left;
     const auto used = ledger.usedBy(name, part);
-    const auto parts = static_cast<double>(context_.partCount());
-    bookkeeping::TeamShare share{team->cpusMax / parts, team->gpusMax / parts};
-    if (const auto known = ledger.shares.find(name); known != ledger.shares.end())
-        if (const auto mine = known->second.find(part); mine != known->second.end())
-            share = mine->second;
+    auto share = shareOf(ledger, *team, part);
+    if (const auto leaving = ledger.sharesLeaving.find(name);
+        leaving != ledger.sharesLeaving.end() && leaving->second.first == part) {
+        share.cpus -= leaving->second.second.cpus;
+        share.gpus -= leaving->second.second.gpus;
+    }
     if (team->cpusMax > 0) left.cpus = share.cpus - used.cpus;
     if (team->gpusMax > 0) left.gpus = share.gpus - used.gpus;
     return left;
 }
 
+bool Placement::before(const Job& one, const Job& other) const {
+    return std::tuple(one.spec.priority, latestStart(one), one.spec.id) <
+           std::tuple(other.spec.priority, latestStart(other), other.spec.id);
+}
+
 std::vector<Placement::Ready> Placement::readyJobs(Ledger& ledger, std::uint32_t part) {
     std::vector<Ready> ready;
     const auto now = context_.now();
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -45,6 +45,13 @@
     [[nodiscard]] static bool typeAllowed(const protocol::JobSpec& spec, const MachineType& type,
                                           const std::string& zone, bool spot);
     [[nodiscard]] bool takesWork(const Machine& machine) const;
+    // What a part may still use of a team's limit, and its share of it.
+    [[nodiscard]] Resources teamLeft(Ledger& ledger, const std::string& team,
+                                     std::uint32_t part) const;
+    [[nodiscard]] bookkeeping::TeamShare shareOf(const Ledger& ledger, const app::Team& team,
+                                                 std::uint32_t part) const;
+    // The queue's order.
+    [[nodiscard]] bool before(const Job& one, const Job& other) const;
     // When a job should have started at the latest to meet what is expected of it.
     [[nodiscard]] transport::WallTime latestStart(const Job& job) const;
     // Seconds to fetch its image onto the fastest machine it may use.
@@ -97,8 +104,6 @@
     [[nodiscard]] static bool hasImage(Ledger& ledger, const Machine& machine, const Job& job);
     [[nodiscard]] double cost(Ledger& ledger, const Job& job, const Machine& machine,
                               const MachineType& type) const;
-    [[nodiscard]] Resources teamLeft(Ledger& ledger, const std::string& team,
-                                     std::uint32_t part) const;
     std::uint64_t nextAttempt(std::uint32_t part);
 
     Context& context_;
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -62,6 +62,13 @@
     visit(m.machines);
 }
 
+template <typename Visit>
+void fields(ShareAsk& m, Visit visit) {
+    visit(m.lender);
+    visit(m.borrower);
+    visit(m.job);
+}
+
 template <std::size_t Index = 0>
 bool readKind(std::uint64_t kind, VarintReader& in, PeerMessage& out) {
     if constexpr (Index < std::variant_size_v<PeerMessage>) {
--- a/src/protocol/peer_codec.h
+++ b/src/protocol/peer_codec.h
@@ -77,7 +77,14 @@
     std::uint32_t machines = 0;
 };
 
-using PeerMessage = std::variant<Status, MoveAsk, MoveAnswer, NoCapacity, LoanAsk>;
+// "Give my part of what your part does not use of its team's limit, for this job."
+struct ShareAsk {
+    std::uint32_t lender = 0;  // parts
+    std::uint32_t borrower = 0;
+    std::string job;
+};
+
+using PeerMessage = std::variant<Status, MoveAsk, MoveAnswer, NoCapacity, LoanAsk, ShareAsk>;
 
 struct PeerEnvelope {
     std::string sender;
--- a/tests/unit/peer_codec_test.cpp
+++ b/tests/unit/peer_codec_test.cpp
@@ -40,6 +40,10 @@
     EXPECT_EQ(loan.job, "run-2");
     EXPECT_EQ(loan.zone, "b");
     EXPECT_EQ(loan.machines, 12U);
+    const auto share = roundTrip(ShareAsk{3, 0, "run-3"});
+    EXPECT_EQ(share.lender, 3U);
+    EXPECT_EQ(share.borrower, 0U);
+    EXPECT_EQ(share.job, "run-3");
 }
 
 TEST(PeerCodec, RefusesOtherVersionsKindsAndTrailingBytes) {
