--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -393,7 +393,8 @@
                                       const Job& job) const {
     const auto fetch = fetchTime(job);
     const Seconds waited = context_.timers.wallNow() - job.submitted;
-    if (waited >= fetch || job.spec.estimate.count() <= 0) return 0;
+    // Nor once it would be late if it had to fetch after all.
+    if (waited >= fetch || job.spec.estimate.count() <= 0 || atRisk(job)) return 0;
     // Places on machines that have the image come free at this rate.
     double places = 0;
     for (const auto* machine : ledger.machinesOf(part)) {
