--- a/src/coordination/context.h
+++ b/src/coordination/context.h
@@ -1,7 +1,9 @@
 // What the parts of the coordination share.
 #pragma once
 
+#include <algorithm>
 #include <charconv>
+#include <map>
 #include <random>
 
 #include "app/settings.h"
@@ -61,9 +63,16 @@
     // A part has machines of few zones, so that a gang finds its places together and a cut between
     // zones parts few of them from their owner.
     [[nodiscard]] std::uint32_t defaultPart(const std::string& zone, const std::string& id) const {
+        // With one node in a zone all its machines would hang on that node: then by number alone.
         std::vector<std::uint32_t> near;
-        for (std::uint32_t part = 0; part < nodes.size(); ++part)
+        std::map<std::string, int> nodesIn;
+        for (std::uint32_t part = 0; part < nodes.size(); ++part) {
+            ++nodesIn[settings.zoneOf(nodes[part])];
             if (settings.zoneOf(nodes[part]) == zone) near.push_back(part);
+        }
+        if (std::any_of(nodesIn.begin(), nodesIn.end(),
+                        [](const auto& entry) { return entry.second < 2; }))
+            near.clear();
         // Names are given out in order: neighbours, mostly of one type, are dealt out evenly.
         const auto digits = id.find_last_not_of("0123456789") + 1;
         std::uint64_t number = 0;
