--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -72,14 +72,8 @@
     // since hurrying it helps nobody, but it grows old and is not passed over for ever.
     const auto now = context_.timers.wallNow();
     std::optional<transport::WallTime> next;
-    // Machines for a large gang take a while to come together: it is served that much earlier.
-    Seconds lead{};
-    if (job.spec.kind == JobKind::gang && job.spec.tasks > 1)
-        for (const auto& type : context_.catalog)
-            if (typeAllowed(job.spec, type, job.spec.zone.value_or(""), false))
-                lead = std::max(lead, type.bootTime);
     const auto consider = [&](Seconds afterSubmission) {
-        const auto latest = plus(job.submitted, afterSubmission - lead);
+        const auto latest = plus(job.submitted, afterSubmission);
         if (latest > now && (!next || latest < *next)) next = latest;
     };
     for (const auto& objective : context_.settings.objectives) {
@@ -399,8 +393,7 @@
                                       const Job& job) const {
     const auto fetch = fetchTime(job);
     const Seconds waited = context_.timers.wallNow() - job.submitted;
-    // Nor once it would be late if it had to fetch after all.
-    if (waited >= fetch || job.spec.estimate.count() <= 0 || atRisk(job)) return 0;
+    if (waited >= fetch || job.spec.estimate.count() <= 0) return 0;
     // Places on machines that have the image come free at this rate.
     double places = 0;
     for (const auto* machine : ledger.machinesOf(part)) {
