--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -102,7 +102,7 @@
     std::optional<std::uint32_t> lender;  // part that has lent it to `part`
     std::uint64_t tokenFloor = 0;         // its worker may have seen this token from a lender
     bool retired = false;                 // a release was or will be sent: never gets work again
-    std::uint64_t version = 0;  // 0: no record yet, and so no work
+    std::uint64_t version = 0;            // 0: no record yet, and so no work
 
     // Not durable: learnt from reports and lists.
     std::string address;
@@ -117,8 +117,8 @@
     std::uint64_t expected = 0;
     std::uint64_t shown = 0;
     SteadyTime doubtedSince{};
-    int unheard = 0;           // answered reports in a row that don't show it
-    SteadyTime mutedUntil{};   // not answered, so that its lease runs out
+    int unheard = 0;          // answered reports in a row that don't show it
+    SteadyTime mutedUntil{};  // not answered, so that its lease runs out
 
     std::optional<SteadyTime> heard;  // last newer report, by this process as its owner
     SteadyTime silentSince{};         // leases can't have been renewed after this
@@ -197,8 +197,8 @@
     // After the records were read anew.
     void rebuildIndexes();
 
-    // How much of an image's demand a part can serve from its machines' caches, 0 to 1: by the tasks
-    // with this image that had a place there.
+    // How much of an image's demand a part can serve from its machines' caches, 0 to 1: by the
+    // tasks with this image that had a place there.
     [[nodiscard]] double cachedShare(const JobSpec& spec, std::uint32_t part) const;
 
     [[nodiscard]] Resources usedBy(const std::string& team, std::uint32_t part) const;
--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -104,8 +104,7 @@
     if (fresh || moved) m.known = m.silentSince = m.idleSince = now;
     if (moved) m.reservedUntil = {};
     m.lender.reset();
-    if (value.contains("lender"))
-        m.lender = static_cast<std::uint32_t>(countOf(value, "lender"));
+    if (value.contains("lender")) m.lender = static_cast<std::uint32_t>(countOf(value, "lender"));
     m.tokenFloor = countOf(value, "floor");
     if (moved && m.tokenFloor > m.firstToken) {
         // Lent or given back: the part it comes from has just heard it, and it is empty.
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -21,7 +21,7 @@
 constexpr auto longestRefusalPause = 40s;
 constexpr auto loansFirst = 2s;
 constexpr auto refusalMemory = 30s;  // after a pause's end: there may be some again
-constexpr double lagMargin = 2.2;  // a list may lag by up to twice the stated time
+constexpr double lagMargin = 2.2;    // a list may lag by up to twice the stated time
 constexpr auto listMargin = 1s;
 constexpr auto renterFirst = 10s;   // a new machine's renter records it itself
 constexpr double neverBoots = 4.0;  // times the stated boot time
@@ -238,8 +238,7 @@
                               writes.pending.erase(id);
                               auto ledger = context_.ledger.lock();
                               Machine* machine = ledger->machine(id);
-                              if (machine != nullptr)
-                                  writes.settled(*machine, result, revision);
+                              if (machine != nullptr) writes.settled(*machine, result, revision);
                           }
                           onAnswer();
                           writeSome(writes, part);
@@ -414,8 +413,7 @@
                             const Job* job = ledger->job(gang);
                             const auto* type = context_.type(kind.type);
                             for (const auto& id : machines) {
-                                Machine* machine =
-                                    note(id, kind.type, kind.zone, kind.spot, part);
+                                Machine* machine = note(id, kind.type, kind.zone, kind.spot, part);
                                 if (machine == nullptr) continue;
                                 if (job != nullptr && type != nullptr)
                                     placement_.reserve(
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -101,7 +101,7 @@
     };
     Resources guaranteed_;  // to all teams
     double upGpus_ = 0;
-    double upCpus_ = 0;  // of machines without GPUs
+    double upCpus_ = 0;                                   // of machines without GPUs
     std::map<std::string, Standing> standing_;            // by class
     std::map<Kind, Refusal> refused_;                     // no capacity: not before
     std::map<std::uint32_t, std::map<Kind, int>> asked_;  // rentals under way
--- a/src/coordination/loans.cpp
+++ b/src/coordination/loans.cpp
@@ -12,23 +12,18 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto askPause = 2s;     // for one gang: until the loans show in the records
-constexpr auto unusedLoan = 5s;   // then it goes back
-constexpr auto longestAsked = 5min;
+constexpr auto unusedLoan = 5s;  // then it goes back
 
 }  // namespace
 
 void Loans::askFor(std::uint32_t part, const std::vector<Unplaced>& unplaced) {
-    const auto now = context_.now();
-    std::erase_if(asked_, [now](const auto& entry) { return now - entry.second > longestAsked; });
     auto ledger = context_.ledger.lock();
     for (const auto& entry : unplaced) {
         // In the queue's order one gang of a zone is served before the next.
         if (!entry.gang || entry.waitsTurn || entry.tasks == 0) continue;
         const Job* job = ledger->job(entry.job);
         if (job == nullptr || job->part != part) continue;
-        const auto asked = asked_.find(entry.job);
-        if (asked != asked_.end() && now - asked->second < askPause) continue;
+        if (!asking_.due(entry.job, context_.now())) continue;
         std::vector<std::pair<std::uint32_t, std::uint32_t>> order;  // idle, part
         std::uint32_t total = 0;
         for (std::uint32_t other = 0; other < context_.partCount(); ++other) {
@@ -47,7 +42,6 @@
         // Part of what it lacks is of no use to it unless the rest can come free or be rented, but
         // asking costs little and unused loans go back.
         if (total == 0) continue;
-        asked_[entry.job] = now;
         std::sort(order.rbegin(), order.rend());
         auto missing = entry.tasks;
         for (const auto& [idle, other] : order) {
@@ -59,8 +53,8 @@
             if (owner == context_.settings.name)
                 onAsk(owner, ask);
             else
-                context_.network.sendFrame(
-                    owner, protocol::encodePeer({context_.settings.name, ask}));
+                context_.network.sendFrame(owner,
+                                           protocol::encodePeer({context_.settings.name, ask}));
         }
     }
 }
@@ -90,8 +84,8 @@
             !membership_.leaseStands())
             return;
         for (const auto* machine : ledger->machinesOf(ask.lender)) {
-            if (lent.size() >= std::min<std::size_t>(ask.machines,
-                                                     context_.settings.transactionChanges))
+            if (lent.size() >=
+                std::min<std::size_t>(ask.machines, context_.settings.transactionChanges))
                 break;
             const auto* type = context_.type(machine->type);
             if (!machine->claims.empty() || !placement_.takesWork(*machine) ||
@@ -114,8 +108,7 @@
     {
         auto ledger = context_.ledger.lock();
         // The borrower's record is a condition: an owner that has changed since asks anew.
-        transaction.conditions.push_back(
-            {bookkeeping::keys::part(to), ledger->parts[to].version});
+        transaction.conditions.push_back({bookkeeping::keys::part(to), ledger->parts[to].version});
         for (const auto& id : machines) {
             Machine& machine = *ledger->machine(id);
             machine.lending = true;  // no new work from now on
@@ -131,18 +124,17 @@
         }
     }
     const auto changes = transaction.changes;
-    committer_.commit(
-        from, std::move(transaction),
-        [this, machines, changes](CommitResult result, std::uint64_t revision) {
-            auto ledger = context_.ledger.lock();
-            for (const auto& id : machines)
-                if (Machine* machine = ledger->machine(id)) machine->lending = false;
-            if (result != CommitResult::done) return;
-            for (const auto& change : changes)
-                bookkeeping::applyEvent(*ledger, {change.key, change.value, revision},
-                                        context_.now());
-            for (const auto& id : machines) reports_.sendOn(id);
-        });
+    committer_.commit(from, std::move(transaction),
+                      [this, machines, changes](CommitResult result, std::uint64_t revision) {
+                          auto ledger = context_.ledger.lock();
+                          for (const auto& id : machines)
+                              if (Machine* machine = ledger->machine(id)) machine->lending = false;
+                          if (result != CommitResult::done) return;
+                          for (const auto& change : changes)
+                              bookkeeping::applyEvent(*ledger, {change.key, change.value, revision},
+                                                      context_.now());
+                          for (const auto& id : machines) reports_.sendOn(id);
+                      });
 }
 
 void Loans::review(std::uint32_t part) {
--- a/src/coordination/loans.h
+++ b/src/coordination/loans.h
@@ -1,9 +1,11 @@
 // Lends machines between parts: a gang too large for what its own part has free starts on machines
 // that peers lend its owner for that start. A loan is one guarded change of the machine's record,
-// made by the lender while the machine is empty; from then on the borrower answers its worker, holds
-// its claims and their proofs, and gives it back when the gang has ended.
+// made by the lender while the machine is empty; from then on the borrower answers its worker,
+// holds its claims and their proofs, and gives it back when the gang has ended.
 #pragma once
 
+#include "coordination/asking.h"
+#include "coordination/committer.h"
 #include "coordination/placement.h"
 #include "coordination/reports.h"
 
@@ -35,7 +37,7 @@
     Committer& committer_;
     Placement& placement_;
     Reports& reports_;
-    std::map<std::string, SteadyTime> asked_;  // by gang
+    Asking asking_;  // by gang
 };
 
 }  // namespace fawnwheel::coordination
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -1,8 +1,8 @@
 // Who is alive, who owns which part, and whether this process may still act as an owner.
 //
 // A node's record hangs on a lease with the state service. A part's record names its owner and
-// term; the tokens that its machines see begin with the term. A lapsed owner's part goes to a peer with a higher
-// term, and back when the part's natural owner has returned.
+// term; the tokens that its machines see begin with the term. A lapsed owner's part goes to a peer
+// with a higher term, and back when the part's natural owner has returned.
 #pragma once
 
 #include <functional>
--- a/src/coordination/moves.cpp
+++ b/src/coordination/moves.cpp
@@ -57,12 +57,11 @@
     if (most <= 0) return 1;
     auto ledger = context_.ledger.lock();
     const auto& machines = ledger->machinesOf(part);
-    const bool cached =
-        std::any_of(machines.begin(), machines.end(), [&](const Machine* machine) {
-            return placement_.takesWork(*machine) &&
-                   std::any_of(machine->images.begin(), machine->images.end(),
-                               [&](const auto& i) { return i.name == job.spec.image; });
-        });
+    const bool cached = std::any_of(machines.begin(), machines.end(), [&](const Machine* machine) {
+        return placement_.takesWork(*machine) &&
+               std::any_of(machine->images.begin(), machine->images.end(),
+                           [&](const auto& i) { return i.name == job.spec.image; });
+    });
     const double local = cached ? most : 0;
     return (most - local) / most;
 }
@@ -102,8 +101,7 @@
             // Elsewhere its image may have to be fetched: what has it here waits here for as long
             // as that would take.
             const Seconds waited = context_.timers.wallNow() - job->submitted;
-            atRisk = placement_.atRisk(*job) &&
-                     (free > 0 || waited >= placement_.fetchTime(*job));
+            atRisk = placement_.atRisk(*job) && (free > 0 || waited >= placement_.fetchTime(*job));
         }
         queue.considered();
         const double chance = queue.moveProbability(free, tuning);
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -62,7 +62,8 @@
 
 bool Placement::takesWork(const Machine& machine) const {
     const auto now = context_.now();
-    return machine.version != 0 && machine.hears() && !machine.lending && !machine.retired && !machine.emptying && !machine.noticeEnds && machine.heard &&
+    return machine.version != 0 && machine.hears() && !machine.lending && !machine.retired &&
+           !machine.emptying && !machine.noticeEnds && machine.heard &&
            now - *machine.heard < ticks(context_.settings.report * silentReports) &&
            now >= machine.notBefore;
 }
@@ -244,8 +245,7 @@
 
 void Placement::chooseZone(Ledger& ledger, std::uint32_t part, Job& job) {
     const auto now = context_.now();
-    if (!job.spec.oneZone ||
-        (!job.gatherZone.empty() && now - job.gatherSince < gatherPatience))
+    if (!job.spec.oneZone || (!job.gatherZone.empty() && now - job.gatherSince < gatherPatience))
         return;
     // Where most of it could start now; else where the part has most machines for it. A zone that
     // did not get it together for long gives way to the next best.
--- a/src/coordination/recorder.cpp
+++ b/src/coordination/recorder.cpp
@@ -116,8 +116,7 @@
                     for (const auto& entry : (*written->value)["claims"])
                         if (entry[2].get<std::uint64_t>() == claim.attempt &&
                             entry[0].get<std::uint32_t>() + slice.first == claim.task)
-                            if (!std::exchange(claim.durable, true))
-                                machines.insert(claim.machine);
+                            if (!std::exchange(claim.durable, true)) machines.insert(claim.machine);
                 }
             } else {
                 // What did not become durable was never sent: forget it and decide anew.
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -18,8 +18,8 @@
 constexpr auto leaseMargin = 1500ms;
 constexpr auto orderTimeout = 2s;
 constexpr int answersBelieved = 3;  // without any effect
-constexpr auto worthANudge = 1s;  // until its next report is due
-constexpr auto refusedPause = 3s;  // a machine that had no room, or knew no such job
+constexpr auto worthANudge = 1s;    // until its next report is due
+constexpr auto refusedPause = 3s;   // a machine that had no room, or knew no such job
 constexpr int errorsToQuarantine = 2;
 constexpr auto quarantine = 10min;
 constexpr auto firstBackoff = 2s;
@@ -130,8 +130,8 @@
         machine.mutedUntil = now + ticks(context_.settings.lease * leaseDrift) + leaseMargin * 2;
     }
     if (report.token < machine.firstToken) return;
-    // The worker has seen a token of ours, so it accepts no older owner's answers any more, and it has
-    // one report in flight at a time: what this report lacks is not on the machine and can only
+    // The worker has seen a token of ours, so it accepts no older owner's answers any more, and it
+    // has one report in flight at a time: what this report lacks is not on the machine and can only
     // come to it by an answer of ours from now on.
     const auto claims = machine.claims;
     for (const auto& ref : claims) {
--- a/src/coordination/shares.cpp
+++ b/src/coordination/shares.cpp
@@ -8,25 +8,12 @@
 
 namespace fawnwheel::coordination {
 
-namespace {
-
-using namespace std::chrono_literals;
-
-constexpr auto askPause = 2s;
-constexpr auto longestAsked = 5min;
-
-}  // namespace
-
 void Shares::askFor(std::uint32_t part, const std::vector<Unplaced>& unplaced) {
-    const auto now = context_.now();
-    std::erase_if(asked_, [now](const auto& entry) { return now - entry.second > longestAsked; });
     auto ledger = context_.ledger.lock();
     for (const auto& entry : unplaced) {
         if (!entry.overShare) continue;
         const Job* job = ledger->job(entry.job);
-        const auto asked = asked_.find(entry.job);
-        if (job == nullptr || (asked != asked_.end() && now - asked->second < askPause)) continue;
-        asked_[entry.job] = now;
+        if (job == nullptr || !asking_.due(entry.job, context_.now())) continue;
         for (std::uint32_t other = 0; other < context_.partCount(); ++other) {
             const auto& owner = ledger->parts[other].owner;
             if (other == part || !ledger->nodes.contains(owner)) continue;
@@ -36,8 +23,8 @@
             if (owner == context_.settings.name)
                 onAsk(owner, ask);
             else
-                context_.network.sendFrame(
-                    owner, protocol::encodePeer({context_.settings.name, ask}));
+                context_.network.sendFrame(owner,
+                                           protocol::encodePeer({context_.settings.name, ask}));
         }
         // The first in the queue's order gets what there is; the next ones ask in their turn.
         return;
--- a/src/coordination/shares.h
+++ b/src/coordination/shares.h
@@ -1,7 +1,9 @@
-// Moves shares of a team's limit between parts. The shares always add up to the limit: the part that
-// gives reduces its own before the change is sent, the one that gets uses it once it is recorded.
+// Moves shares of a team's limit between parts. The shares always add up to the limit: the part
+// that gives reduces its own before the change is sent, the one that gets uses it once it is
+// recorded.
 #pragma once
 
+#include "coordination/asking.h"
 #include "coordination/committer.h"
 #include "coordination/placement.h"
 
@@ -24,7 +26,7 @@
     Membership& membership_;
     Committer& committer_;
     Placement& placement_;
-    std::map<std::string, SteadyTime> asked_;  // by job
+    Asking asking_;  // by job
 };
 
 }  // namespace fawnwheel::coordination
--- a/src/protocol/state_client.cpp
+++ b/src/protocol/state_client.cpp
@@ -137,20 +137,20 @@
 
 void StateClient::send(Call call) {
     auto again = std::make_shared<Call>(std::move(call));
-    network_.call(address_, again->request, again->timeout,
-                  [this, again](std::optional<transport::HttpResponse> r) {
-                      noteAnswer(r);
-                      if (r && r->status == 429) {
-                          // Not carried out: it goes first as soon as it may. Sent again at once,
-                          // the takings of parts at the start used up what the service allows.
-                          urgentNotBefore_ = timers_.now() + leasePause;
-                          (again->writes > 0 ? writes_ : requests_).refused();
-                          queues_[static_cast<std::size_t>(again->urgency)].push_front(
-                              std::move(*again));
-                          return pumpLater();
-                      }
-                      again->done(std::move(r));
-                  });
+    network_.call(
+        address_, again->request, again->timeout,
+        [this, again](std::optional<transport::HttpResponse> r) {
+            noteAnswer(r);
+            if (r && r->status == 429) {
+                // Not carried out: it goes first as soon as it may. Sent again at once,
+                // the takings of parts at the start used up what the service allows.
+                urgentNotBefore_ = timers_.now() + leasePause;
+                (again->writes > 0 ? writes_ : requests_).refused();
+                queues_[static_cast<std::size_t>(again->urgency)].push_front(std::move(*again));
+                return pumpLater();
+            }
+            again->done(std::move(r));
+        });
 }
 
 void StateClient::noteAnswer(const std::optional<transport::HttpResponse>& response) {
--- a/tests/sim/scenario_main.cpp
+++ b/tests/sim/scenario_main.cpp
@@ -242,8 +242,7 @@
     spdlog::set_pattern("%L %v");
     try {
         Scenario scenario(argv[1]);
-        const auto seeds =
-            std::min(argc > 2 ? std::stoull(argv[2]) : 3ULL, scenario.mostSeeds());
+        const auto seeds = std::min(argc > 2 ? std::stoull(argv[2]) : 3ULL, scenario.mostSeeds());
         bool passed = true;
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
             for (const auto& failure : scenario.run(seed)) {
