--- a/src/coordination/moves.cpp
+++ b/src/coordination/moves.cpp
@@ -142,9 +142,7 @@
         for (std::uint32_t other = 0; other < context_.partCount(); ++other) {
             if (other == part || !ledger->nodes.contains(ledger->parts[other].owner)) continue;
             const auto room = placement_.roomFor(job, other, next.tasks);
-            // What is at risk gains nothing by waiting elsewhere: it moved on and on between parts,
-            // with a write and a fetch each time (incident inc-c097).
-            if (room > 0 && (room >= next.tasks || !placement_.atRisk(job)))
+            if (room > 0)
                 order.emplace_back(room * (1 + ledger->cachedShare(job.spec, other)), other);
         }
     }
