--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -588,13 +588,15 @@
     }
 }
 
-bool Fleet::standsReady(const Machine& machine) const {
+bool Fleet::withinGuarantee(const Machine& machine) const {
     // What a team is guaranteed is kept at hand: it need not wait for others, nor for a boot.
-    if (const auto* type = context_.type(machine.type);
-        type != nullptr &&
-        (type->capacity.gpus > 0 ? guaranteed_.gpus > 0 && upGpus_ <= guaranteed_.gpus
-                                 : guaranteed_.cpus > 0 && upCpus_ <= guaranteed_.cpus))
-        return true;
+    const auto* type = context_.type(machine.type);
+    return type != nullptr &&
+           (type->capacity.gpus > 0 ? guaranteed_.gpus > 0 && upGpus_ <= guaranteed_.gpus
+                                    : guaranteed_.cpus > 0 && upCpus_ <= guaranteed_.cpus);
+}
+
+bool Fleet::standsReady(const Machine& machine) const {
     return std::any_of(standing_.begin(), standing_.end(), [&](const auto& entry) {
         return entry.second.pressed * 2 > entry.second.jobs &&
                entry.second.types.contains(machine.type) &&
@@ -606,12 +608,15 @@
     if (placement_.queueLength(part) > 0) return false;
     auto ledger = context_.ledger.lock();
     const auto& machines = ledger->machinesOf(part);
-    return std::none_of(machines.begin(), machines.end(),
-                        [&](const Machine* machine) { return standsReady(*machine); });
+    return std::none_of(machines.begin(), machines.end(), [&](const Machine* machine) {
+        return standsReady(*machine) || withinGuarantee(*machine);
+    });
 }
 
 Duration Fleet::idleLimit(const Machine& machine, const MachineType& type) const {
-    if (!standsReady(machine)) return ticks(context_.tuning.idleBeforeReturn);
+    // For a guarantee alone they stand twice as long: nobody wants idle ones for minutes.
+    if (!standsReady(machine))
+        return ticks(context_.tuning.idleBeforeReturn * (withinGuarantee(machine) ? 2 : 1));
     // Renting again costs a boot, the least charge and fetching the images anew. Waiting for work
     // as long as that costs at most twice what the best choice in hindsight would have.
     Seconds again = type.bootTime + leastCharge;
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -77,6 +77,7 @@
     void release();
     void logUse(const Ledger& ledger, std::uint32_t part);
     void noteGuaranteed(const Ledger& ledger);
+    [[nodiscard]] bool withinGuarantee(const Machine& machine) const;
     [[nodiscard]] bool standsReady(const Machine& machine) const;
     [[nodiscard]] Duration idleLimit(const Machine& machine, const MachineType& type) const;
     void forgetMachine(std::uint32_t part, const std::string& id);
