--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -12,6 +12,8 @@
 namespace wire = protocol::wire;
 
 constexpr auto workDelay = 30ms;  // gathers what one round of events changes
+constexpr int workRest = 3;       // times what the last round took
+constexpr auto longestWork = 150ms;  // as far as the pause goes; a longer one was not work
 constexpr auto housekeepingPeriod = 500ms;
 
 }  // namespace
@@ -77,9 +79,14 @@
 void Controller::soon() {
     if (workPlanned_) return;
     workPlanned_ = true;
-    context_.timers.after(workDelay, [this] {
+    // Reports, renewals and users' requests need most of a small share of a core: the longer a
+    // round takes, the longer the next one waits.
+    const auto pause = std::max<Duration>(workDelay, workTook_ * workRest);
+    context_.timers.after(pause, [this] {
         workPlanned_ = false;
+        const auto began = context_.now();
         work();
+        workTook_ = std::min<Duration>(context_.now() - began, longestWork);
     });
 }
 
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -42,6 +42,7 @@
     Moves moves_;
     Intake intake_;
     bool workPlanned_ = false;
+    Duration workTook_{};
     std::set<std::string> stopping_;  // cancelled jobs whose stops have been sent
 };
 
--- a/src/coordination/moves.cpp
+++ b/src/coordination/moves.cpp
@@ -289,12 +289,13 @@
     std::uint32_t best = context_.naturalPart;
     std::tuple<int, double> bestScore{-1, 0};
     const auto fetch = placement_.fetchTime(job).count();
+    const auto queues = placement_.queueLengths();
     auto ledger = context_.ledger.lock();
     for (std::uint32_t i = 0; i < context_.partCount(); ++i) {
         // Equal parts: one's own first.
         const auto part = (context_.naturalPart + i) % context_.partCount();
         if (!ledger->nodes.contains(ledger->parts[part].owner)) continue;
-        const auto queue = placement_.queueLength(part);
+        const auto queue = queues[part];
         const auto room = placement_.roomFor(job, part, job.spec.tasks + queue);
         const auto startNow = std::min(room > queue ? room - queue : 0, job.spec.tasks);
         double running = 1;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -61,7 +61,10 @@
 }
 
 bool Placement::takesWork(const Machine& machine) const {
-    const auto now = context_.now();
+    return takesWork(machine, context_.now());
+}
+
+bool Placement::takesWork(const Machine& machine, SteadyTime now) const {
     return machine.version != 0 && machine.hears() && !machine.lending && !machine.retired &&
            !machine.emptying && !machine.noticeEnds && machine.heard &&
            now - *machine.heard < ticks(context_.settings.report * silentReports) &&
@@ -149,20 +152,23 @@
            std::tuple(other.spec.priority, latestStart(other), other.spec.id);
 }
 
+std::uint32_t Placement::waitingIn(const Slice& slice) {
+    return static_cast<std::uint32_t>(slice.done.size()) - slice.doneCount -
+           static_cast<std::uint32_t>(slice.claims.size());
+}
+
 std::vector<Placement::Ready> Placement::readyJobs(Ledger& ledger, std::uint32_t part) {
     std::vector<Ready> ready;
     const auto now = context_.now();
     for (auto& [id, job] : ledger.jobs) {
         if (job.cancelled || job.finishing || now < job.notBefore) continue;
-        std::uint32_t tasks = 0;
-        for (const auto& slice : job.slices)
-            if (slice.part == part && !slice.leaving)
-                tasks += static_cast<std::uint32_t>(slice.done.size()) - slice.doneCount -
-                         static_cast<std::uint32_t>(slice.claims.size());
         if (job.spec.kind == JobKind::gang && job.anyClaim()) {
             if (job.part == part) stopBrokenGang(job);
             continue;
         }
+        std::uint32_t tasks = 0;
+        for (const auto& slice : job.slices)
+            if (slice.part == part && !slice.leaving) tasks += waitingIn(slice);
         if (tasks > 0) ready.push_back({&job, tasks, latestStart(job)});
     }
     std::sort(ready.begin(), ready.end(), [](const Ready& a, const Ready& b) {
@@ -183,35 +189,106 @@
     }
 }
 
-std::uint32_t Placement::queueLength(std::uint32_t part) {
-    std::uint32_t total = 0;
+std::vector<std::uint32_t> Placement::queueLengths() {
+    std::vector<std::uint32_t> lengths(context_.partCount(), 0);
+    const auto now = context_.now();
     auto ledger = context_.ledger.lock();
-    for (const auto& ready : readyJobs(*ledger, part)) total += ready.tasks;
-    return total;
+    for (const auto& [id, job] : ledger->jobs) {
+        if (job.cancelled || job.finishing || now < job.notBefore ||
+            (job.spec.kind == JobKind::gang && job.anyClaim()))
+            continue;
+        for (const auto& slice : job.slices)
+            if (slice.part < lengths.size() && !slice.leaving)
+                lengths[slice.part] += waitingIn(slice);
+    }
+    return lengths;
+}
+
+std::uint32_t Placement::queueLength(std::uint32_t part) {
+    return queueLengths()[part];
 }
 
-bool Placement::allowed(const Job& job, const Machine& machine,
-                        const std::map<std::string, std::uint32_t>& zoneUse) const {
+bool Placement::allowed(const Job& job, const Machine& machine) const {
     const auto* type = context_.type(machine.type);
     if (type == nullptr || !typeAllowed(job.spec, *type, machine.zone, machine.spot)) return false;
     if (job.failedOn.contains(machine.id)) return false;
     // A loan is for a gang's start only.
     if (machine.lender && job.spec.kind != JobKind::gang) return false;
+    Resources room = type->capacity;
+    room -= machine.used;
+    if (context_.now() < machine.reservedUntil && machine.reservedFor != job.spec.id)
+        room -= machine.reservedRoom;
+    return job.spec.each.fits(room);
+}
+
+Placement::Openings Placement::openingsOf(const Ledger& ledger, std::uint32_t part) const {
+    Openings openings;
+    const auto now = context_.now();
+    for (auto* machine : ledger.machinesOf(part)) {
+        if (!takesWork(*machine, now)) continue;
+        auto kind = std::find_if(openings.begin(), openings.end(), [&](const OpenKind& k) {
+            return k.type->name == machine->type && k.zone == machine->zone &&
+                   k.spot == machine->spot;
+        });
+        if (kind == openings.end()) {
+            const auto* type = context_.type(machine->type);
+            if (type == nullptr) continue;
+            kind = openings.insert(openings.end(), {type, machine->zone, machine->spot, {}});
+        }
+        Opening opening{machine, kind->type->capacity, {}};
+        opening.free -= machine->used;
+        opening.open = opening.free;
+        if (now < machine->reservedUntil) opening.open -= machine->reservedRoom;
+        kind->machines.push_back(opening);
+    }
+    return openings;
+}
+
+bool Placement::kindAllowed(const Job& job, const OpenKind& kind, const ZoneUse& zoneUse) {
+    if (!typeAllowed(job.spec, *kind.type, kind.zone, kind.spot)) return false;
     if (job.spec.oneZone)
         for (const auto& [zone, count] : zoneUse)
-            if (count > 0 && zone != machine.zone) return false;
+            if (count > 0 && zone != kind.zone) return false;
     if (job.spec.spread) {
-        const auto here = zoneUse.find(machine.zone);
+        const auto here = zoneUse.find(kind.zone);
         const auto lost = zoneUse.find(std::string());
         const auto count =
             (here == zoneUse.end() ? 0 : here->second) + (lost == zoneUse.end() ? 0 : lost->second);
         if (count + 1 > (job.spec.tasks + 1) / 2) return false;
     }
-    Resources room = type->capacity;
-    room -= machine.used;
-    if (context_.now() < machine.reservedUntil && machine.reservedFor != job.spec.id)
-        room -= machine.reservedRoom;
-    return job.spec.each.fits(room);
+    return true;
+}
+
+Resources Placement::roomOn(const Opening& opening, const Job& job) const {
+    const Machine& machine = *opening.machine;
+    // A loan is for a gang's start only.
+    if ((machine.lender && job.spec.kind != JobKind::gang) || job.failedOn.contains(machine.id))
+        return {};
+    return machine.reservedFor == job.spec.id ? opening.free : opening.open;
+}
+
+std::uint32_t Placement::placesFor(const Openings& openings, const Job& job,
+                                   const ZoneUse& zoneUse) const {
+    std::uint32_t places = 0;
+    for (const auto& kind : openings) {
+        if (!kindAllowed(job, kind, zoneUse)) continue;
+        for (const auto& opening : kind.machines) {
+            if (!job.spec.each.fits(opening.free)) continue;
+            places += fitsIn(job, roomOn(opening, job), job.spec.tasks - places);
+            if (places >= job.spec.tasks) return places;
+        }
+    }
+    return places;
+}
+
+void Placement::take(Opening& opening, const Resources& each) {
+    opening.free -= each;
+    opening.open -= each;
+}
+
+void Placement::giveBack(Opening& opening, const Resources& each) {
+    opening.free += each;
+    opening.open += each;
 }
 
 std::uint32_t Placement::fitsIn(const Job& job, Resources room, std::uint32_t most) {
@@ -257,7 +334,7 @@
             continue;
         auto& [free, all] = zones[machine->zone];
         ++all;
-        if ((takesWork(*machine) && allowed(job, *machine, {})) ||
+        if ((takesWork(*machine) && allowed(job, *machine)) ||
             (now < machine->reservedUntil && machine->reservedFor == job.spec.id))
             ++free;
     }
@@ -279,7 +356,13 @@
     job.gatherSince = now;
 }
 
-std::uint32_t Placement::gather(Ledger& ledger, std::uint32_t part, Job& job,
+void Placement::keep(Opening& opening, const Job& job, std::uint32_t tasks) const {
+    reserve(*opening.machine, job, tasks, gatherRenewal);
+    opening.open = opening.free;
+    opening.open -= opening.machine->reservedRoom;
+}
+
+std::uint32_t Placement::gather(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
                                 std::set<std::string>& blockedZones) {
     // A gang would wait for ever behind small work that takes each machine as it comes free. In
     // the queue's order, each keeps what is free until it has enough; one that lacks machines
@@ -287,51 +370,55 @@
     const auto& zone = job.gatherZone;
     const auto now = context_.now();
     std::uint32_t held = 0;
-    for (auto* machine : ledger.machinesOf(part)) {
-        if (held >= job.spec.tasks) return 0;
-        if (!zone.empty() && machine->zone != zone) continue;
-        if (now < machine->reservedUntil) {
-            // Rented for it and booting, or others are being stopped there.
-            if (machine->reservedFor == job.spec.id) held += machine->reservedTasks;
-        } else if (takesWork(*machine) && allowed(job, *machine, {})) {
-            Resources room = context_.type(machine->type)->capacity;
-            room -= machine->used;
-            reserve(*machine, job, fitsIn(job, room, job.spec.tasks - held), gatherRenewal);
+    // Rented for it and booting, or others are being stopped there.
+    for (const auto* machine : ledger.machinesOf(part))
+        if (now < machine->reservedUntil && machine->reservedFor == job.spec.id &&
+            (zone.empty() || machine->zone == zone))
             held += machine->reservedTasks;
+    for (auto& kind : openings) {
+        if ((!zone.empty() && kind.zone != zone) || !kindAllowed(job, kind, {})) continue;
+        for (auto& opening : kind.machines) {
+            if (held >= job.spec.tasks) return 0;
+            if (now < opening.machine->reservedUntil) continue;
+            const auto fit = fitsIn(job, roomOn(opening, job), job.spec.tasks - held);
+            if (fit == 0) continue;
+            keep(opening, job, fit);
+            held += fit;
         }
     }
+    if (held >= job.spec.tasks) return 0;
     auto missing = job.spec.tasks - held;
-    if (missing == 0) return 0;
     blockedZones.insert(zone);
-    if (!rentable(job, zone)) missing -= drainFor(ledger, part, job, missing);
+    if (!rentable(job, zone)) missing -= drainFor(openings, job, missing);
     return missing;
 }
 
-std::uint32_t Placement::drainFor(Ledger& ledger, std::uint32_t part, const Job& job,
-                                  std::uint32_t missing) {
+std::uint32_t Placement::drainFor(Openings& openings, const Job& job, std::uint32_t missing) {
     struct Busy {
         double used = 0;
-        Machine* machine = nullptr;
+        Opening* opening = nullptr;
+        const MachineType* type = nullptr;
     };
     std::vector<Busy> busy;
     const auto now = context_.now();
-    for (auto* machine : ledger.machinesOf(part)) {
-        const auto* type = context_.type(machine->type);
-        if (type == nullptr || now < machine->reservedUntil || !takesWork(*machine) ||
-            (!job.gatherZone.empty() && machine->zone != job.gatherZone) ||
-            !typeAllowed(job.spec, *type, machine->zone, machine->spot))
+    for (auto& kind : openings) {
+        if ((!job.gatherZone.empty() && kind.zone != job.gatherZone) || !kindAllowed(job, kind, {}))
             continue;
-        // Less used ones come free sooner.
-        busy.push_back({machine->used.cpus / std::max(1.0, type->capacity.cpus), machine});
+        for (auto& opening : kind.machines) {
+            if (now < opening.machine->reservedUntil) continue;
+            // Less used ones come free sooner.
+            busy.push_back({opening.machine->used.cpus / std::max(1.0, kind.type->capacity.cpus),
+                            &opening, kind.type});
+        }
     }
     std::sort(busy.begin(), busy.end(), [](const Busy& a, const Busy& b) {
-        return std::tie(a.used, a.machine->id) < std::tie(b.used, b.machine->id);
+        return std::tie(a.used, a.opening->machine->id) < std::tie(b.used, b.opening->machine->id);
     });
     std::uint32_t kept = 0;
     for (const auto& entry : busy) {
         if (kept >= missing) break;
-        const auto fit = fitsIn(job, context_.type(entry.machine->type)->capacity, missing - kept);
-        reserve(*entry.machine, job, fit, gatherRenewal);
+        const auto fit = fitsIn(job, entry.type->capacity, missing - kept);
+        keep(*entry.opening, job, fit);
         kept += fit;
     }
     return kept;
@@ -374,42 +461,44 @@
            });
 }
 
-Machine* Placement::choose(Ledger& ledger, std::uint32_t part, const Job& job,
-                           const std::map<std::string, std::uint32_t>& zoneUse) {
-    Machine* best = nullptr;
+Placement::Opening* Placement::choose(Ledger& ledger, Openings& openings, const Job& job,
+                                      const ZoneUse& zoneUse) const {
+    Opening* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
-    for (auto* machine : ledger.machinesOf(part)) {
-        if (!takesWork(*machine) || !allowed(job, *machine, zoneUse)) continue;
-        const double value = cost(ledger, job, *machine, *context_.type(machine->type));
-        if (value < bestCost) {
-            bestCost = value;
-            best = machine;
+    for (auto& kind : openings) {
+        if (!kindAllowed(job, kind, zoneUse)) continue;
+        for (auto& opening : kind.machines) {
+            if (!job.spec.each.fits(opening.free) || !job.spec.each.fits(roomOn(opening, job)))
+                continue;
+            const double value = cost(ledger, job, *opening.machine, *kind.type);
+            if (value < bestCost) {
+                bestCost = value;
+                best = &opening;
+            }
         }
     }
     return best;
 }
 
-std::uint32_t Placement::worthWaiting(const Ledger& ledger, std::uint32_t part,
-                                      const Job& job) const {
+std::uint32_t Placement::worthWaiting(const Openings& openings, const Job& job) const {
     const auto fetch = fetchTime(job);
     const Seconds waited = context_.timers.wallNow() - job.submitted;
     if (waited >= fetch || job.spec.estimate.count() <= 0) return 0;
     // Places on machines that have the image come free at this rate.
     double places = 0;
-    for (const auto* machine : ledger.machinesOf(part)) {
-        const auto* type = context_.type(machine->type);
-        if (type == nullptr || !takesWork(*machine) ||
-            !typeAllowed(job.spec, *type, machine->zone, machine->spot) ||
-            std::none_of(machine->images.begin(), machine->images.end(),
-                         [&](const auto& i) { return i.name == job.spec.image; }))
-            continue;
-        places += fitsIn(job, type->capacity, job.spec.tasks);
+    for (const auto& kind : openings) {
+        if (!kindAllowed(job, kind, {})) continue;
+        const auto each = fitsIn(job, kind.type->capacity, job.spec.tasks);
+        for (const auto& opening : kind.machines)
+            if (std::any_of(opening.machine->images.begin(), opening.machine->images.end(),
+                            [&](const auto& i) { return i.name == job.spec.image; }))
+                places += each;
     }
     return static_cast<std::uint32_t>(places * (fetch / job.spec.estimate));
 }
 
 Placement::Placed Placement::placeArray(Ledger& ledger, std::uint32_t part, Job& job,
-                                        Resources& left, bool& overShare) {
+                                        Openings& openings, Resources& left, bool& overShare) {
     auto zoneUse = zoneUseOf(ledger, job);
     Placed placed;
     std::optional<std::uint32_t> mayWait;  // worked out when the first would have to fetch
@@ -425,10 +514,11 @@
                 overShare = true;
                 return placed;
             }
-            Machine* machine = choose(ledger, part, job, zoneUse);
-            if (machine == nullptr) return placed;
+            Opening* opening = choose(ledger, openings, job, zoneUse);
+            if (opening == nullptr) return placed;
+            const Machine* machine = opening->machine;
             if (!hasImage(ledger, *machine, job)) {
-                if (!mayWait) mayWait = worthWaiting(ledger, part, job);
+                if (!mayWait) mayWait = worthWaiting(openings, job);
                 if (*mayWait > 0) {
                     --*mayWait;
                     ++placed.waiting;
@@ -446,14 +536,15 @@
                           job.spec.id, task, machine->id, machine->type, job.spec.jobClass,
                           Seconds(context_.timers.wallNow() - job.submitted).count());
             ledger.addClaim(job, slice, std::move(claim));
+            take(*opening, job.spec.each);
             ++placed.tasks;
         }
     }
     return placed;
 }
 
-bool Placement::placeGang(Ledger& ledger, std::uint32_t part, Job& job, Resources& left,
-                          bool& overShare) {
+bool Placement::placeGang(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
+                          Resources& left, bool& overShare) {
     Resources all;
     for (std::uint32_t i = 0; i < job.spec.tasks; ++i) all += job.spec.each;
     if (!all.fits(left)) {
@@ -464,39 +555,41 @@
     std::vector<std::string> zones{std::string()};
     if (job.spec.oneZone) {
         std::set<std::string> found;
-        for (const auto* machine : ledger.machinesOf(part)) found.insert(machine->zone);
+        for (const auto& kind : openings) found.insert(kind.zone);
         zones.clear();
         for (const auto& zone : found) zones.push_back(zone);
     }
-    const auto attempt = nextAttempt(part);
-    std::vector<std::uint32_t> best;
     for (const auto& zone : zones) {
-        std::map<std::string, std::uint32_t> use;
+        ZoneUse use;
         if (!zone.empty()) use[zone] = 1;  // holds the choice to this zone
-        std::uint32_t placed = 0;
+        if (placesFor(openings, job, use) < job.spec.tasks) continue;
+        const auto attempt = nextAttempt(part);
+        std::vector<Opening*> taken;
         std::vector<bool> dirty;
         for (auto& slice : job.slices) {
             dirty.push_back(slice.dirty);
             for (std::uint32_t i = 0; i < slice.done.size(); ++i) {
-                Machine* machine = choose(ledger, part, job, use);
-                if (machine == nullptr) break;
+                Opening* opening = choose(ledger, openings, job, use);
+                if (opening == nullptr) break;
                 Claim claim;
                 claim.task = slice.first + i;
-                claim.machine = machine->id;
+                claim.machine = opening->machine->id;
                 claim.attempt = attempt;
                 claim.made = context_.now();
-                ++use[machine->zone];
+                ++use[opening->machine->zone];
                 ledger.addClaim(job, slice, std::move(claim));
-                ++placed;
+                take(*opening, job.spec.each);
+                taken.push_back(opening);
             }
         }
-        if (placed == job.spec.tasks) {
+        if (taken.size() == job.spec.tasks) {
             left -= all;
             spdlog::debug("gang {}: placed, first on {}, class {}, {:.1f} s after submission",
                           job.spec.id, job.slices.front().claims.front().machine, job.spec.jobClass,
                           Seconds(context_.timers.wallNow() - job.submitted).count());
             return true;
         }
+        for (auto* opening : taken) giveBack(*opening, job.spec.each);
         for (auto& slice : job.slices) {
             while (!slice.claims.empty()) ledger.removeClaim(job, slice, slice.claims.front().task);
             // As it was: the ends of the attempt before may still wait to be recorded. Once they
@@ -513,6 +606,7 @@
     std::map<std::string, Resources> left;
     std::set<std::string> blockedZones;
     dropReservations(*ledger, part);
+    auto openings = openingsOf(*ledger, part);
     for (auto& ready : readyJobs(*ledger, part)) {
         Job& job = *ready.job;
         const auto& team = job.spec.team;
@@ -520,9 +614,10 @@
         bool overShare = false;
         Placed placed;
         if (job.spec.kind == JobKind::gang)
-            placed.tasks = placeGang(*ledger, part, job, left[team], overShare) ? ready.tasks : 0;
+            placed.tasks =
+                placeGang(*ledger, part, job, openings, left[team], overShare) ? ready.tasks : 0;
         else
-            placed = placeArray(*ledger, part, job, left[team], overShare);
+            placed = placeArray(*ledger, part, job, openings, left[team], overShare);
         const auto settled = placed.tasks + placed.waiting;
         if (settled >= ready.tasks) continue;
         // One task alone gathers nothing and lies in one zone anyway.
@@ -530,7 +625,7 @@
             chooseZone(*ledger, part, job);
             const bool waitsTurn = blockedZones.contains(job.gatherZone);
             const auto missing =
-                waitsTurn ? job.spec.tasks : gather(*ledger, part, job, blockedZones);
+                waitsTurn ? job.spec.tasks : gather(*ledger, part, job, openings, blockedZones);
             unplaced.push_back({job.spec.id, missing, false, true, job.gatherZone, waitsTurn});
         } else {
             unplaced.push_back({job.spec.id, ready.tasks - settled, overShare, false, {}, false});
@@ -539,7 +634,7 @@
     return unplaced;
 }
 
-bool Placement::makeRoom(Ledger& ledger, std::uint32_t part, const Job& job,
+bool Placement::makeRoom(Ledger& ledger, const Openings& openings, const Job& job,
                          std::set<std::string>& machines) {
     struct Victim {
         Claim* claim = nullptr;
@@ -552,17 +647,13 @@
     Machine* best = nullptr;
     std::vector<Victim> bestVictims;
     double bestLoss = std::numeric_limits<double>::max();
-    for (auto* entry : ledger.machinesOf(part)) {
-        Machine& machine = *entry;
-        const auto* type = context_.type(machine.type);
-        if (!takesWork(machine) || type == nullptr || now < machine.reservedUntil) continue;
-        // What would be allowed on it, were it empty.
-        Machine empty = machine;
-        empty.used = {};
-        if (!allowed(job, empty, use)) continue;
+    const auto consider = [&](const Opening& opening) {
+        Machine& machine = *opening.machine;
+        if (now < machine.reservedUntil || job.failedOn.contains(machine.id) ||
+            (machine.lender && job.spec.kind != JobKind::gang))
+            return;
         std::vector<Victim> candidates;
-        Resources room = type->capacity;
-        room -= machine.used;
+        Resources room = opening.free;
         for (const auto& ref : machine.claims) {
             const auto [other, slice, claim] = ledger.held(ref);
             if (claim == nullptr || !claim->durable) continue;
@@ -589,11 +680,14 @@
             victims.push_back(candidate);
             loss += candidate.loss;
         }
-        if (!job.spec.each.fits(room) || loss >= bestLoss) continue;
+        if (!job.spec.each.fits(room) || loss >= bestLoss) return;
         best = &machine;
         bestVictims = std::move(victims);
         bestLoss = loss;
-    }
+    };
+    for (const auto& kind : openings)
+        if (kindAllowed(job, kind, use))
+            for (const auto& opening : kind.machines) consider(opening);
     if (best == nullptr) return false;
     for (const auto& victim : bestVictims) {
         if (!victim.claim->seen) victim.claim->giveUp = true;
@@ -606,19 +700,35 @@
     return true;
 }
 
+protocol::Priority Placement::lowestRunning(const Ledger& ledger, std::uint32_t part) {
+    auto lowest = protocol::Priority::production;
+    for (const auto& [id, job] : ledger.jobs)
+        if (job.spec.priority > lowest && job.spec.kind != JobKind::gang &&
+            std::any_of(job.slices.begin(), job.slices.end(), [part](const Slice& slice) {
+                return slice.part == part && !slice.claims.empty();
+            }))
+            lowest = job.spec.priority;
+    return lowest;
+}
+
 std::set<std::string> Placement::preemptFor(std::uint32_t part,
                                             const std::vector<Unplaced>& unplaced) {
     std::set<std::string> machines;
     auto ledger = context_.ledger.lock();
+    std::optional<protocol::Priority> lowest;  // that could give way
+    std::optional<Openings> openings;
     for (const auto& entry : unplaced) {
         Job* job = ledger->job(entry.job);
         if (job == nullptr || entry.overShare || entry.waitsTurn || !atRisk(*job) ||
             context_.now() < job->preemptedUntil)
             continue;
+        if (!lowest) lowest = lowestRunning(*ledger, part);
+        if (*lowest <= job->spec.priority) continue;
+        if (!openings) openings = openingsOf(*ledger, part);
         // A gang gets nothing from a part of the room it needs.
         const auto most = entry.gang ? entry.tasks : std::min(entry.tasks, mostPreempted);
         for (std::uint32_t i = 0; i < most; ++i) {
-            if (!makeRoom(*ledger, part, *job, machines)) break;
+            if (!makeRoom(*ledger, *openings, *job, machines)) break;
             job->preemptedUntil = context_.now() + reservation;
         }
     }
@@ -645,7 +755,7 @@
             if (other == &machine || other->claims.empty() || !takesWork(*other)) continue;
             Machine after = *other;
             after.used += taken[other->id];
-            if (!allowed(*job, after, {})) continue;
+            if (!allowed(*job, after)) continue;
             taken[other->id] += job->spec.each;
             fits = true;
             break;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -32,6 +32,7 @@
 
     // Ready tasks of the part: to start, without a place (the paper's readyQ).
     [[nodiscard]] std::uint32_t queueLength(std::uint32_t part);
+    [[nodiscard]] std::vector<std::uint32_t> queueLengths();  // by part
     // How many more tasks like the job's the part's machines could start right now.
     [[nodiscard]] std::uint32_t roomFor(const Job& job, std::uint32_t part, std::uint32_t most);
     // Whether any machine of the part, were it empty, could run one task of the job.
@@ -45,6 +46,7 @@
     [[nodiscard]] static bool typeAllowed(const protocol::JobSpec& spec, const MachineType& type,
                                           const std::string& zone, bool spot);
     [[nodiscard]] bool takesWork(const Machine& machine) const;
+    [[nodiscard]] bool takesWork(const Machine& machine, SteadyTime now) const;
     // What a part may still use of a team's limit, and its share of it.
     [[nodiscard]] Resources teamLeft(Ledger& ledger, const std::string& team,
                                      std::uint32_t part) const;
@@ -72,34 +74,63 @@
         transport::WallTime latest;
     };
 
+    // A part's machines that take work, by kind, with the room on them. Made once for a run: with
+    // each job asking every machine anew, runs took half of a controller's time on a large part.
+    struct Opening {
+        Machine* machine = nullptr;
+        Resources free;
+        Resources open;  // less what is kept for some job
+    };
+    struct OpenKind {
+        const MachineType* type = nullptr;
+        std::string zone;
+        bool spot = false;
+        std::vector<Opening> machines;
+    };
+    using Openings = std::vector<OpenKind>;
+    using ZoneUse = std::map<std::string, std::uint32_t>;
+
+    [[nodiscard]] Openings openingsOf(const Ledger& ledger, std::uint32_t part) const;
+    static bool kindAllowed(const Job& job, const OpenKind& kind, const ZoneUse& zoneUse);
+    [[nodiscard]] Resources roomOn(const Opening& opening, const Job& job) const;
+    // How many of the job's tasks would find a place, up to all of them.
+    [[nodiscard]] std::uint32_t placesFor(const Openings& openings, const Job& job,
+                                          const ZoneUse& zoneUse) const;
+
+    [[nodiscard]] static std::uint32_t waitingIn(const Slice& slice);
     std::vector<Ready> readyJobs(Ledger& ledger, std::uint32_t part);
     // How many of a job's tasks do better to wait for machines that have its image.
-    [[nodiscard]] std::uint32_t worthWaiting(const Ledger& ledger, std::uint32_t part,
-                                             const Job& job) const;
+    [[nodiscard]] std::uint32_t worthWaiting(const Openings& openings, const Job& job) const;
     struct Placed {
         std::uint32_t tasks = 0;
         std::uint32_t waiting = 0;  // for a machine with the image, rather than elsewhere
     };
-    Placed placeArray(Ledger& ledger, std::uint32_t part, Job& job, Resources& left,
-                      bool& overShare);
-    bool placeGang(Ledger& ledger, std::uint32_t part, Job& job, Resources& left, bool& overShare);
+    Placed placeArray(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
+                      Resources& left, bool& overShare);
+    bool placeGang(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
+                   Resources& left, bool& overShare);
     // Keeps machines for a gang that can't start yet; how many are missing.
-    std::uint32_t gather(Ledger& ledger, std::uint32_t part, Job& job,
+    std::uint32_t gather(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
                          std::set<std::string>& blockedZones);
     // Takes no more other work on busy machines, so that they come free for the gang.
-    std::uint32_t drainFor(Ledger& ledger, std::uint32_t part, const Job& job,
-                           std::uint32_t missing);
+    std::uint32_t drainFor(Openings& openings, const Job& job, std::uint32_t missing);
+    void keep(Opening& opening, const Job& job, std::uint32_t tasks) const;
     void chooseZone(Ledger& ledger, std::uint32_t part, Job& job);
     void dropReservations(Ledger& ledger, std::uint32_t part);
     [[nodiscard]] std::uint32_t gangRoom(Ledger& ledger, std::uint32_t part, const Job& job);
     void stopBrokenGang(Job& job);
     bool canEmpty(Ledger& ledger, const Machine& machine, std::vector<Claim*>& claims);
-    bool makeRoom(Ledger& ledger, std::uint32_t part, const Job& job,
+    // Of what runs on the part and could be stopped for others.
+    [[nodiscard]] static protocol::Priority lowestRunning(const Ledger& ledger,
+                                                          std::uint32_t part);
+    bool makeRoom(Ledger& ledger, const Openings& openings, const Job& job,
                   std::set<std::string>& machines);
-    Machine* choose(Ledger& ledger, std::uint32_t part, const Job& job,
-                    const std::map<std::string, std::uint32_t>& zoneUse);
-    [[nodiscard]] bool allowed(const Job& job, const Machine& machine,
-                               const std::map<std::string, std::uint32_t>& zoneUse) const;
+    [[nodiscard]] Opening* choose(Ledger& ledger, Openings& openings, const Job& job,
+                                  const ZoneUse& zoneUse) const;
+    // What a claim takes of an opening, and gives back.
+    static void take(Opening& opening, const Resources& each);
+    static void giveBack(Opening& opening, const Resources& each);
+    [[nodiscard]] bool allowed(const Job& job, const Machine& machine) const;
     // Or is fetching it.
     [[nodiscard]] static bool hasImage(Ledger& ledger, const Machine& machine, const Job& job);
     [[nodiscard]] double cost(Ledger& ledger, const Job& job, const Machine& machine,
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -13,7 +13,6 @@
 constexpr std::uint32_t maxTasks = 100'000;
 constexpr std::size_t maxText = 120;
 constexpr double maxAmount = 1e9;
-constexpr double slack = 1e-9;  // sums of decimals
 
 template <typename Enum>
 struct Word {
@@ -122,24 +121,6 @@
 
 }  // namespace
 
-Resources& Resources::operator+=(const Resources& other) {
-    cpus += other.cpus;
-    gpus += other.gpus;
-    memory += other.memory;
-    return *this;
-}
-
-Resources& Resources::operator-=(const Resources& other) {
-    cpus -= other.cpus;
-    gpus -= other.gpus;
-    memory -= other.memory;
-    return *this;
-}
-
-bool Resources::fits(const Resources& room) const {
-    return cpus <= room.cpus + slack && gpus <= room.gpus + slack && memory <= room.memory + slack;
-}
-
 bool validJobId(const std::string& id) {
     const std::string_view prefix = wire::jobPrefix;
     if (id.size() <= prefix.size() || id.size() > maxText || !id.starts_with(prefix)) return false;
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -21,9 +21,24 @@
     double gpus = 0;
     double memory = 0;  // GB
 
-    Resources& operator+=(const Resources& other);
-    Resources& operator-=(const Resources& other);
-    [[nodiscard]] bool fits(const Resources& room) const;
+    Resources& operator+=(const Resources& other) {
+        cpus += other.cpus;
+        gpus += other.gpus;
+        memory += other.memory;
+        return *this;
+    }
+    Resources& operator-=(const Resources& other) {
+        cpus -= other.cpus;
+        gpus -= other.gpus;
+        memory -= other.memory;
+        return *this;
+    }
+    [[nodiscard]] bool fits(const Resources& room) const {
+        return cpus <= room.cpus + slack && gpus <= room.gpus + slack &&
+               memory <= room.memory + slack;
+    }
+
+    static constexpr double slack = 1e-9;  // sums of decimal amounts
 };
 
 struct JobSpec {
