--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -127,6 +127,21 @@
     if (m->claims.empty()) m->used = {};
 }
 
+void Ledger::noteImage(Machine& machine, const JobSpec& spec) {
+    auto& images = machine.images;
+    std::erase_if(images, [&](const auto& i) { return i.name == spec.image; });
+    images.push_front({spec.image, spec.imageSize});
+    const auto type = std::find_if(catalog.begin(), catalog.end(),
+                                   [&](const auto& t) { return t.name == machine.type; });
+    if (type == catalog.end()) return;
+    double total = 0;
+    for (const auto& image : images) total += image.size;
+    while (images.size() > 1 && total > type->cacheSize) {
+        total -= images.back().size;
+        images.pop_back();
+    }
+}
+
 void Ledger::addClaim(Job& job, Slice& slice, Claim claim) {
     attach(job, claim);
     slice.claims.push_back(std::move(claim));
@@ -167,6 +182,10 @@
             old != nullptr && old->attempt == claim.attempt && old->machine == claim.machine) {
             claim = *old;
             claim.durable = true;
+        } else if (Machine* m = machine(claim.machine)) {
+            // Another owner's placement: who takes its part over then knows where images lie.
+            // Without that all were fetched anew (day zone of a fleet).
+            noteImage(*m, job.spec);
         }
     }
     for (const auto& claim : slice.claims) detach(job, claim);
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -187,6 +187,8 @@
     void movePart(Machine& machine, std::uint32_t part);
     [[nodiscard]] Held held(const TaskRef& ref);
 
+    // The machine has the image, or will have it soon.
+    void noteImage(Machine& machine, const JobSpec& spec);
     void addClaim(Job& job, Slice& slice, Claim claim);
     void removeClaim(Job& job, Slice& slice, std::uint32_t task);
     void dropJob(const std::string& id);
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -102,7 +102,6 @@
         onChange();
     }
     machine.address = report.address;
-    if (machine.session != report.session) machine.images.clear();
     machine.session = report.session;
     machine.sequence = report.sequence;
     machine.heard = now;
@@ -153,19 +152,6 @@
     }
 }
 
-void Reports::noteImage(Machine& machine, const Job& job) {
-    auto& images = machine.images;
-    std::erase_if(images, [&](const auto& i) { return i.name == job.spec.image; });
-    images.push_front({job.spec.image, job.spec.imageSize});
-    const auto* type = context_.type(machine.type);
-    double total = 0;
-    for (const auto& image : images) total += image.size;
-    while (type != nullptr && images.size() > 1 && total > type->cacheSize) {
-        total -= images.back().size;
-        images.pop_back();
-    }
-}
-
 void Reports::takeTask(Ledger& ledger, Machine& machine, const protocol::TaskReport& task,
                        std::vector<Command>& commands) {
     Job* job = ledger.job(task.job);
@@ -208,7 +194,7 @@
     claim->state = task.state;
     if (task.state == TaskState::exited)
         return takeExit(ledger, machine, *job, *slice, *claim, task);
-    if (task.state != TaskState::fetching) noteImage(machine, *job);
+    if (task.state != TaskState::fetching) ledger.noteImage(machine, job->spec);
     if (task.state == TaskState::running && !claim->ran) {
         claim->ran = context_.now();
         spdlog::debug("task {}/{}: runs on {}, {:.1f} s after its placement", task.job, task.index,
--- a/src/coordination/reports.h
+++ b/src/coordination/reports.h
@@ -47,7 +47,6 @@
                   std::vector<protocol::Command>& commands);
     void takeExit(Ledger& ledger, Machine& machine, Job& job, Slice& slice, Claim& claim,
                   const protocol::TaskReport& task);
-    void noteImage(Machine& machine, const Job& job);
     void order(const Machine& machine, const std::vector<protocol::Command>& commands);
     void addStarts(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report,
                    std::vector<protocol::Command>& commands);
