--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -27,6 +27,8 @@
 constexpr Seconds riskMargin{10};
 constexpr auto reservation = std::chrono::seconds(20);  // to save, report and be placed
 constexpr double fetchWorth = 5;
+constexpr double fetchThatCounts = 0.25;  // of the time that a task runs
+constexpr double fetchesPassedOver = 3;
 constexpr auto gatherRenewal = std::chrono::seconds(3);
 constexpr auto gatherPatience = std::chrono::seconds(90);  // in one zone
 constexpr std::uint32_t mostPreempted = 4;
@@ -497,8 +499,20 @@
     return static_cast<std::uint32_t>(places * (fetch / job.spec.estimate));
 }
 
+bool Placement::letsCachedGoFirst(const Job& job) const {
+    // In a backlog every job has waited long. Each machine that came free then fetched the image of
+    // the first in the queue, while later ones had theirs there: half of the GPUs' time went into
+    // fetches, and the backlog stayed (day zone of a fleet). What finds no place at all for long
+    // takes one wherever it is.
+    const auto fetch = fetchTime(job);
+    const Seconds waited = context_.timers.wallNow() - job.submitted;
+    return fetch > job.spec.estimate * fetchThatCounts &&
+           (job.anyClaim() || waited < fetch * fetchesPassedOver);
+}
+
 Placement::Placed Placement::placeArray(Ledger& ledger, std::uint32_t part, Job& job,
-                                        Openings& openings, Resources& left, bool& overShare) {
+                                        Openings& openings, Resources& left, bool& overShare,
+                                        bool cachedOnly) {
     auto zoneUse = zoneUseOf(ledger, job);
     Placed placed;
     std::optional<std::uint32_t> mayWait;  // worked out when the first would have to fetch
@@ -518,6 +532,7 @@
             if (opening == nullptr) return placed;
             const Machine* machine = opening->machine;
             if (!hasImage(ledger, *machine, job)) {
+                if (cachedOnly) return placed;
                 if (!mayWait) mayWait = worthWaiting(openings, job);
                 if (*mayWait > 0) {
                     --*mayWait;
@@ -607,29 +622,48 @@
     std::set<std::string> blockedZones;
     dropReservations(*ledger, part);
     auto openings = openingsOf(*ledger, part);
-    for (auto& ready : readyJobs(*ledger, part)) {
+    auto queue = readyJobs(*ledger, part);
+    const auto leftFor = [&](const Job& job) -> Resources& {
+        const auto [entry, fresh] = left.try_emplace(job.spec.team);
+        if (fresh) entry->second = teamLeft(*ledger, job.spec.team, part);
+        return entry->second;
+    };
+    std::vector<Ready> toFetch;
+    for (auto& ready : queue) {
         Job& job = *ready.job;
-        const auto& team = job.spec.team;
-        if (!left.contains(team)) left[team] = teamLeft(*ledger, team, part);
         bool overShare = false;
-        Placed placed;
-        if (job.spec.kind == JobKind::gang)
-            placed.tasks =
-                placeGang(*ledger, part, job, openings, left[team], overShare) ? ready.tasks : 0;
-        else
-            placed = placeArray(*ledger, part, job, openings, left[team], overShare);
-        const auto settled = placed.tasks + placed.waiting;
-        if (settled >= ready.tasks) continue;
+        if (job.spec.kind != JobKind::gang) {
+            const bool cachedOnly = letsCachedGoFirst(job);
+            const auto placed =
+                placeArray(*ledger, part, job, openings, leftFor(job), overShare, cachedOnly);
+            ready.tasks -= placed.tasks + placed.waiting;
+            if (ready.tasks == 0) continue;
+            if (cachedOnly && !overShare)
+                toFetch.push_back(ready);
+            else
+                unplaced.push_back({job.spec.id, ready.tasks, overShare, false, {}, false});
+            continue;
+        }
+        if (placeGang(*ledger, part, job, openings, leftFor(job), overShare)) continue;
         // One task alone gathers nothing and lies in one zone anyway.
-        if (job.spec.kind == JobKind::gang && job.spec.tasks > 1 && !overShare) {
-            chooseZone(*ledger, part, job);
-            const bool waitsTurn = blockedZones.contains(job.gatherZone);
-            const auto missing =
-                waitsTurn ? job.spec.tasks : gather(*ledger, part, job, openings, blockedZones);
-            unplaced.push_back({job.spec.id, missing, false, true, job.gatherZone, waitsTurn});
-        } else {
-            unplaced.push_back({job.spec.id, ready.tasks - settled, overShare, false, {}, false});
+        if (job.spec.tasks == 1 || overShare) {
+            unplaced.push_back({job.spec.id, ready.tasks, overShare, false, {}, false});
+            continue;
         }
+        chooseZone(*ledger, part, job);
+        const bool waitsTurn = blockedZones.contains(job.gatherZone);
+        const auto missing =
+            waitsTurn ? job.spec.tasks : gather(*ledger, part, job, openings, blockedZones);
+        unplaced.push_back({job.spec.id, missing, false, true, job.gatherZone, waitsTurn});
+    }
+    for (auto& ready : toFetch) {
+        Job& job = *ready.job;
+        bool overShare = false;
+        const auto placed =
+            placeArray(*ledger, part, job, openings, leftFor(job), overShare, false);
+        ready.tasks -= placed.tasks + placed.waiting;
+        if (ready.tasks > 0)
+            unplaced.push_back({job.spec.id, ready.tasks, overShare, false, {}, false});
     }
     return unplaced;
 }
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -106,7 +106,9 @@
         std::uint32_t waiting = 0;  // for a machine with the image, rather than elsewhere
     };
     Placed placeArray(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
-                      Resources& left, bool& overShare);
+                      Resources& left, bool& overShare, bool cachedOnly);
+    // Whether others that need no fetch may go first where this job would have to fetch.
+    [[nodiscard]] bool letsCachedGoFirst(const Job& job) const;
     bool placeGang(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
                    Resources& left, bool& overShare);
     // Keeps machines for a gang that can't start yet; how many are missing.
