One rental call for many gangs, and only once for each; small tasks keep off large places

Packing: small tasks avoid machines where they would close a place for larger ones of another class.

--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -330,7 +330,7 @@
         Resources room;
     };
     std::vector<Coming> coming;
-    std::map<Kind, int> wanted;
+    std::map<Kind, Order> wanted;
     auto ledger = context_.ledger.lock();
     for (const auto* machine : ledger->machinesOf(part)) {
         const auto* type = context_.type(machine->type);
@@ -349,7 +349,7 @@
         const Job* job = ledger->job(entry.job);
         if (job == nullptr || entry.overShare) continue;
         if (entry.gang) {
-            rentForGang(part, entry, *job);
+            orderForGang(entry, *job, wanted);
             continue;
         }
         for (std::uint32_t left = entry.tasks; left > 0; --left) {
@@ -364,17 +364,18 @@
             }
             const auto kind = cheapest(*job, left, {});
             // The answer to the last call tells whether there are more of this kind.
-            if (!kind || asking(*kind) || wanted[*kind] >= maxRentAtOnce) break;
-            ++wanted[*kind];
+            if (!kind || asking(*kind) || wanted[*kind].count >= maxRentAtOnce) break;
+            ++wanted[*kind].count;
             coming.push_back({*kind, context_.type(kind->type)->capacity});
             coming.back().room -= job->spec.each;
         }
     }
-    for (const auto& [kind, count] : wanted)
-        if (count > 0) rent(part, kind, count, {});
+    for (const auto& [kind, order] : wanted)
+        if (order.count > 0) rent(part, kind, order);
 }
 
-void Fleet::rentForGang(std::uint32_t part, const Unplaced& entry, const Job& job) {
+void Fleet::orderForGang(const Unplaced& entry, const Job& job,
+                         std::map<Kind, Order>& wanted) const {
     // What it lacks, in the zone where it gathers, and kept for it from the start: machines rented
     // task by task lay in several zones and went to other work as they came up.
     // Peers are asked for idle machines first.
@@ -384,51 +385,64 @@
     const auto kind = cheapest(job, entry.tasks, entry.zone);
     if (!kind || asking(*kind)) return;
     const auto each = Placement::fitsIn(job, context_.type(kind->type)->capacity, entry.tasks);
-    rent(part, *kind, std::min(maxRentAtOnce, static_cast<int>((entry.tasks + each - 1) / each)),
-         entry.job);
-}
-
-void Fleet::rent(std::uint32_t part, const Kind& kind, int count, const std::string& gang) {
-    if (!gang.empty()) rentingFor_.insert(gang);
-    asked_[part][kind] += count;
+    const auto machines =
+        std::min(maxRentAtOnce, static_cast<int>((entry.tasks + each - 1) / each));
+    // Many gangs in one call: with a call for each, a morning's gangs took a minute to rent for.
+    auto& order = wanted[*kind];
+    if (order.count + machines > maxRentAtOnce) return;
+    order.count += machines;
+    order.gangs.emplace_back(entry.job, machines);
+}
+
+void Fleet::rent(std::uint32_t part, const Kind& kind, const Order& order) {
+    for (const auto& [gang, machines] : order.gangs) rentingFor_.insert(gang);
+    asked_[part][kind] += order.count;
     // Terms are given out once and the number grows, so no name is ever used again.
     const auto name = "r-" + context_.settings.name + "-" + std::to_string(membership_.term(part)) +
                       "-" + std::to_string(++rentals_);
-    spdlog::debug("rental {}: {} {} in {}{}", name, count, kind.type, kind.zone,
-                  kind.spot ? ", spot" : "");
-    sendRental(part, kind, count, name, gang, rentalTries);
+    spdlog::debug("rental {}: {} {} in {}{}, {} gangs", name, order.count, kind.type, kind.zone,
+                  kind.spot ? ", spot" : "", order.gangs.size());
+    sendRental(part, kind, order, name, rentalTries);
 }
 
-void Fleet::sendRental(std::uint32_t part, const Kind& kind, int count, const std::string& name,
-                       const std::string& gang, int tries) {
-    context_.cloud.rent(name, kind.type, kind.zone, kind.spot, count,
-                        [this, part, kind, count, name, gang, tries](
+void Fleet::sendRental(std::uint32_t part, const Kind& kind, const Order& order,
+                       const std::string& name, int tries) {
+    context_.cloud.rent(name, kind.type, kind.zone, kind.spot, order.count,
+                        [this, part, kind, order, name, tries](
                             protocol::RentResult result, const std::vector<std::string>& machines) {
                             if (result == protocol::RentResult::unknown && tries > 1)
-                                return sendRental(part, kind, count, name, gang, tries - 1);
-                            rentingFor_.erase(gang);
-                            asked_[part][kind] -= count;
-                            onAnswer();
-                            auto ledger = context_.ledger.lock();
-                            const Job* job = ledger->job(gang);
-                            const auto* type = context_.type(kind.type);
-                            for (const auto& id : machines) {
-                                Machine* machine = note(id, kind.type, kind.zone, kind.spot, part);
-                                if (machine == nullptr) continue;
-                                if (job != nullptr && type != nullptr)
-                                    placement_.reserve(
-                                        *machine, *job,
-                                        Placement::fitsIn(*job, type->capacity, job->spec.tasks),
-                                        ticks(type->bootTime * lateBoot) + bootGrace);
-                                write(recording_, part, id);
-                            }
-                            if (static_cast<int>(machines.size()) < count)
-                                noteRefusal(kind);
-                            else
-                                refused_.erase(kind);
+                                return sendRental(part, kind, order, name, tries - 1);
+                            takeRented(part, kind, order, machines);
                         });
 }
 
+void Fleet::takeRented(std::uint32_t part, const Kind& kind, const Order& order,
+                       const std::vector<std::string>& machines) {
+    asked_[part][kind] -= order.count;
+    onAnswer();
+    auto ledger = context_.ledger.lock();
+    const auto* type = context_.type(kind.type);
+    auto next = machines.begin();
+    for (const auto& [gang, count] : order.gangs) {
+        rentingFor_.erase(gang);
+        const Job* job = ledger->job(gang);
+        for (int i = 0; i < count && next != machines.end(); ++i, ++next) {
+            Machine* machine = note(*next, kind.type, kind.zone, kind.spot, part);
+            if (machine == nullptr || job == nullptr || type == nullptr) continue;
+            placement_.reserve(*machine, *job,
+                               Placement::fitsIn(*job, type->capacity, job->spec.tasks),
+                               ticks(type->bootTime * lateBoot) + bootGrace);
+        }
+    }
+    for (; next != machines.end(); ++next) note(*next, kind.type, kind.zone, kind.spot, part);
+    for (const auto& id : machines)
+        if (ledger->machine(id) != nullptr) write(recording_, part, id);
+    if (static_cast<int>(machines.size()) < order.count)
+        noteRefusal(kind);
+    else
+        refused_.erase(kind);
+}
+
 bool Fleet::rentable(const Job& job, const std::string& inZone) const {
     const auto now = context_.now();
     for (const auto& type : context_.catalog)
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -67,10 +67,17 @@
     void reviewUnrecorded(std::uint32_t part, Machine& machine, const MachineType& type);
     [[nodiscard]] bool wantedByAny(const Ledger& ledger, const Machine& machine,
                                    const MachineType& type) const;
-    void rentForGang(std::uint32_t part, const Unplaced& entry, const Job& job);
-    void rent(std::uint32_t part, const Kind& kind, int count, const std::string& gang);
-    void sendRental(std::uint32_t part, const Kind& kind, int count, const std::string& name,
-                    const std::string& gang, int tries);
+    // What one call asks for: machines, of which some are kept for gangs from the start.
+    struct Order {
+        int count = 0;
+        std::vector<std::pair<std::string, int>> gangs;  // in the queue's order
+    };
+    void orderForGang(const Unplaced& entry, const Job& job, std::map<Kind, Order>& wanted) const;
+    void rent(std::uint32_t part, const Kind& kind, const Order& order);
+    void sendRental(std::uint32_t part, const Kind& kind, const Order& order,
+                    const std::string& name, int tries);
+    void takeRented(std::uint32_t part, const Kind& kind, const Order& order,
+                    const std::vector<std::string>& machines);
     void noteRefusal(const Kind& kind);
     [[nodiscard]] bool asking(const Kind& kind) const;
     void retire(Machine& machine, const char* why);
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -32,6 +32,7 @@
 constexpr auto gatherRenewal = std::chrono::seconds(3);
 constexpr auto gatherPatience = std::chrono::seconds(90);  // in one zone
 constexpr std::uint32_t mostPreempted = 4;
+constexpr double closedPlaceSeconds = 30;   // what closing a place for larger tasks counts as
 constexpr double emptyMachineSeconds = 4;  // what breaking into an empty machine counts as
 
 transport::WallTime plus(transport::WallTime at, Seconds by) {
@@ -364,6 +365,17 @@
     opening.open -= opening.machine->reservedRoom;
 }
 
+std::uint32_t Placement::heldFor(const Ledger& ledger, std::uint32_t part, const Job& job) const {
+    // Rented for it and booting, or others are being stopped there.
+    const auto now = context_.now();
+    std::uint32_t held = 0;
+    for (const auto* machine : ledger.machinesOf(part))
+        if (now < machine->reservedUntil && machine->reservedFor == job.spec.id &&
+            (job.gatherZone.empty() || machine->zone == job.gatherZone))
+            held += machine->reservedTasks;
+    return held;
+}
+
 std::uint32_t Placement::gather(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
                                 std::set<std::string>& blockedZones) {
     // A gang would wait for ever behind small work that takes each machine as it comes free. In
@@ -371,12 +383,7 @@
     // keeps later ones from gathering in its zone, so that no two hold half of what both need.
     const auto& zone = job.gatherZone;
     const auto now = context_.now();
-    std::uint32_t held = 0;
-    // Rented for it and booting, or others are being stopped there.
-    for (const auto* machine : ledger.machinesOf(part))
-        if (now < machine->reservedUntil && machine->reservedFor == job.spec.id &&
-            (zone.empty() || machine->zone == zone))
-            held += machine->reservedTasks;
+    auto held = heldFor(ledger, part, job);
     for (auto& kind : openings) {
         if ((!zone.empty() && kind.zone != zone) || !kindAllowed(job, kind, {})) continue;
         for (auto& opening : kind.machines) {
@@ -463,8 +470,41 @@
            });
 }
 
+Placement::Rivals Placement::largestOfClasses(const Ledger& ledger) {
+    Rivals largest;
+    for (const auto& [id, job] : ledger.jobs) {
+        if (job.cancelled) continue;
+        const auto same = std::find_if(largest.begin(), largest.end(), [&](const Job* other) {
+            return other->spec.jobClass == job.spec.jobClass;
+        });
+        if (same == largest.end())
+            largest.push_back(&job);
+        else if (job.spec.each.cpus > (*same)->spec.each.cpus)
+            *same = &job;
+    }
+    return largest;
+}
+
+std::uint32_t Placement::placesClosed(const Rivals& rivals, const OpenKind& kind,
+                                      const Opening& opening, const Job& job) {
+    // Small tasks spread over large machines left no room for a large one on any of them.
+    std::uint32_t closed = 0;
+    Resources after = opening.free;
+    after -= job.spec.each;
+    for (const auto* rival : rivals) {
+        if (rival->spec.jobClass == job.spec.jobClass ||
+            rival->spec.priority > job.spec.priority || rival->spec.each.fits(job.spec.each) ||
+            !rival->spec.each.fits(opening.free) ||
+            !typeAllowed(rival->spec, *kind.type, kind.zone, kind.spot))
+            continue;
+        closed += fitsIn(*rival, opening.free, rival->spec.tasks) -
+                  fitsIn(*rival, after, rival->spec.tasks);
+    }
+    return closed;
+}
+
 Placement::Opening* Placement::choose(Ledger& ledger, Openings& openings, const Job& job,
-                                      const ZoneUse& zoneUse) const {
+                                      const Rivals& rivals, const ZoneUse& zoneUse) const {
     Opening* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
     for (auto& kind : openings) {
@@ -472,7 +512,9 @@
         for (auto& opening : kind.machines) {
             if (!job.spec.each.fits(opening.free) || !job.spec.each.fits(roomOn(opening, job)))
                 continue;
-            const double value = cost(ledger, job, *opening.machine, *kind.type);
+            const double value =
+                cost(ledger, job, *opening.machine, *kind.type) +
+                closedPlaceSeconds * placesClosed(rivals, kind, opening, job);
             if (value < bestCost) {
                 bestCost = value;
                 best = &opening;
@@ -511,8 +553,8 @@
 }
 
 Placement::Placed Placement::placeArray(Ledger& ledger, std::uint32_t part, Job& job,
-                                        Openings& openings, Resources& left, bool& overShare,
-                                        bool cachedOnly) {
+                                        Openings& openings, const Rivals& rivals,
+                                        Resources& left, bool& overShare, bool cachedOnly) {
     auto zoneUse = zoneUseOf(ledger, job);
     Placed placed;
     std::optional<std::uint32_t> mayWait;  // worked out when the first would have to fetch
@@ -528,7 +570,7 @@
                 overShare = true;
                 return placed;
             }
-            Opening* opening = choose(ledger, openings, job, zoneUse);
+            Opening* opening = choose(ledger, openings, job, rivals, zoneUse);
             if (opening == nullptr) return placed;
             const Machine* machine = opening->machine;
             if (!hasImage(ledger, *machine, job)) {
@@ -584,7 +626,7 @@
         for (auto& slice : job.slices) {
             dirty.push_back(slice.dirty);
             for (std::uint32_t i = 0; i < slice.done.size(); ++i) {
-                Opening* opening = choose(ledger, openings, job, use);
+                Opening* opening = choose(ledger, openings, job, {}, use);
                 if (opening == nullptr) break;
                 Claim claim;
                 claim.task = slice.first + i;
@@ -622,6 +664,7 @@
     std::set<std::string> blockedZones;
     dropReservations(*ledger, part);
     auto openings = openingsOf(*ledger, part);
+    const auto rivals = largestOfClasses(*ledger);
     auto queue = readyJobs(*ledger, part);
     const auto leftFor = [&](const Job& job) -> Resources& {
         const auto [entry, fresh] = left.try_emplace(job.spec.team);
@@ -634,8 +677,8 @@
         bool overShare = false;
         if (job.spec.kind != JobKind::gang) {
             const bool cachedOnly = letsCachedGoFirst(job);
-            const auto placed =
-                placeArray(*ledger, part, job, openings, leftFor(job), overShare, cachedOnly);
+            const auto placed = placeArray(*ledger, part, job, openings, rivals, leftFor(job),
+                                           overShare, cachedOnly);
             ready.tasks -= placed.tasks + placed.waiting;
             if (ready.tasks == 0) continue;
             if (cachedOnly && !overShare)
@@ -652,15 +695,19 @@
         }
         chooseZone(*ledger, part, job);
         const bool waitsTurn = blockedZones.contains(job.gatherZone);
+        // What waits for its turn has machines rented for it, but only once: each round it once
+        // asked for all of them again.
         const auto missing =
-            waitsTurn ? job.spec.tasks : gather(*ledger, part, job, openings, blockedZones);
+            waitsTurn
+                ? job.spec.tasks - std::min(job.spec.tasks, heldFor(*ledger, part, job))
+                : gather(*ledger, part, job, openings, blockedZones);
         unplaced.push_back({job.spec.id, missing, false, true, job.gatherZone, waitsTurn});
     }
     for (auto& ready : toFetch) {
         Job& job = *ready.job;
         bool overShare = false;
         const auto placed =
-            placeArray(*ledger, part, job, openings, leftFor(job), overShare, false);
+            placeArray(*ledger, part, job, openings, rivals, leftFor(job), overShare, false);
         ready.tasks -= placed.tasks + placed.waiting;
         if (ready.tasks > 0)
             unplaced.push_back({job.spec.id, ready.tasks, overShare, false, {}, false});
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -88,6 +88,8 @@
         std::vector<Opening> machines;
     };
     using Openings = std::vector<OpenKind>;
+    // One job for each class, with the largest tasks.
+    using Rivals = std::vector<const Job*>;
     using ZoneUse = std::map<std::string, std::uint32_t>;
 
     [[nodiscard]] Openings openingsOf(const Ledger& ledger, std::uint32_t part) const;
@@ -106,11 +108,14 @@
         std::uint32_t waiting = 0;  // for a machine with the image, rather than elsewhere
     };
     Placed placeArray(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
-                      Resources& left, bool& overShare, bool cachedOnly);
+                      const Rivals& rivals, Resources& left, bool& overShare, bool cachedOnly);
     // Whether others that need no fetch may go first where this job would have to fetch.
     [[nodiscard]] bool letsCachedGoFirst(const Job& job) const;
     bool placeGang(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
                    Resources& left, bool& overShare);
+    // For how many of a gang's tasks machines are kept.
+    [[nodiscard]] std::uint32_t heldFor(const Ledger& ledger, std::uint32_t part,
+                                        const Job& job) const;
     // Keeps machines for a gang that can't start yet; how many are missing.
     std::uint32_t gather(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
                          std::set<std::string>& blockedZones);
@@ -128,7 +133,11 @@
     bool makeRoom(Ledger& ledger, const Openings& openings, const Job& job,
                   std::set<std::string>& machines);
     [[nodiscard]] Opening* choose(Ledger& ledger, Openings& openings, const Job& job,
-                                  const ZoneUse& zoneUse) const;
+                                  const Rivals& rivals, const ZoneUse& zoneUse) const;
+    [[nodiscard]] static Rivals largestOfClasses(const Ledger& ledger);
+    // How many places for others' larger tasks a task of the job would close there.
+    [[nodiscard]] static std::uint32_t placesClosed(const Rivals& rivals, const OpenKind& kind,
+                                                    const Opening& opening, const Job& job);
     // What a claim takes of an opening, and gives back.
     static void take(Opening& opening, const Resources& each);
     static void giveBack(Opening& opening, const Resources& each);
