Sockets for a node that serves nearly everybody: the crowd takes turns, orders are bounded

Up to 2,800 workers may report to one node, more than its share of sockets held. When most connections are taken each answer ends its own, so that no machine is always the one shut out; orders to workers keep off what the state service, the cloud and peers need.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -17,8 +17,14 @@
 using namespace fawnwheel;
 
 constexpr int exitSettings = 2;
-// Of the sockets, what users and workers may take; the rest is for peers, state and cloud.
-constexpr double frontShareOfSockets = 0.7;
+// Of the sockets, what users and workers may take, and what orders to workers may; the rest is for
+// peers, state and cloud.
+constexpr double frontShareOfSockets = 0.8;
+constexpr double ordersShareOfSockets = 0.1;
+
+std::size_t shareOf(std::size_t sockets, double share) {
+    return static_cast<std::size_t>(static_cast<double>(sockets) * share);
+}
 
 void setUpLogging() {
     auto logger = spdlog::stderr_logger_st("fawnwheel");
@@ -37,16 +43,16 @@
     std::map<std::string, std::string> peers;
     for (const auto& peer : settings.peers) peers[peer.name] = peer.address;
     coordination::Controller* controller = nullptr;
-    transport::TcpNetwork network(loop, settings.internalAddress, peers,
+    transport::HttpClient client(loop, shareOf(settings.sockets, ordersShareOfSockets),
+                                 {settings.state, settings.cloud});
+    transport::TcpNetwork network(loop, std::move(client), settings.internalAddress, peers,
                                   [&controller](const std::string& payload) {
                                       if (controller != nullptr) controller->onFrame(payload);
                                   });
     coordination::Controller service(settings, tuning, loop, network, std::random_device{}());
     controller = &service;
-    const auto connections =
-        static_cast<std::size_t>(static_cast<double>(settings.sockets) * frontShareOfSockets);
     const transport::HttpServer front(
-        loop, settings.front, connections,
+        loop, settings.front, shareOf(settings.sockets, frontShareOfSockets),
         [&service](const transport::HttpRequest& request, transport::HttpReply reply) {
             service.onRequest(request, std::move(reply));
         });
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -18,11 +18,16 @@
 struct HttpClient::Connection : std::enable_shared_from_this<Connection> {
     Connection(HttpClient& owner, std::string where, Socket socket)
         : client(&owner),
+          open(owner.open_),
           address(std::move(where)),
           stream(std::make_shared<Stream>(owner.loop_, std::move(socket))) {
         http_parser_init(&parser, HTTP_RESPONSE);
         parser.data = this;
+        ++*open;
     }
+    ~Connection() { --*open; }
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
 
     static Connection& self(http_parser* p) { return *static_cast<Connection*>(p->data); }
 
@@ -105,6 +110,7 @@
     }
 
     HttpClient* client;
+    std::shared_ptr<std::size_t> open;  // outlives the client
     std::string address;
     std::shared_ptr<Stream> stream;
     http_parser parser{};
@@ -125,6 +131,8 @@
         loop_.cancel(connection->timer);
         return connection;
     }
+    // Orders to the workers of a whole fleet must not take the sockets of all else.
+    if (*open_ >= maxConnections_ && !always_.contains(address) && !makeRoom()) return nullptr;
     Socket socket = connectTo(address);
     if (!socket.open()) return nullptr;
     auto connection = std::make_shared<Connection>(*this, address, std::move(socket));
@@ -139,6 +147,15 @@
     return connection;
 }
 
+bool HttpClient::makeRoom() {
+    for (auto& [address, pool] : idle_) {
+        if (pool.empty() || always_.contains(address)) continue;
+        pool.back()->fail();
+        return true;
+    }
+    return false;
+}
+
 void HttpClient::call(const std::string& address, HttpRequest request, Duration timeout,
                       HttpDone done) {
     const auto connection = take(address);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -11,7 +12,9 @@
 
 class HttpClient {
   public:
-    explicit HttpClient(Loop& loop) : loop_(loop) {}
+    // Calls to the addresses in `always` are not held to the bound on connections.
+    HttpClient(Loop& loop, std::size_t maxConnections, std::set<std::string> always)
+        : loop_(loop), maxConnections_(maxConnections), always_(std::move(always)) {}
 
     void call(const std::string& address, HttpRequest request, Duration timeout, HttpDone done);
 
@@ -19,8 +22,12 @@
     struct Connection;
 
     std::shared_ptr<Connection> take(const std::string& address);
+    bool makeRoom();
 
     Loop& loop_;
+    std::size_t maxConnections_;
+    std::set<std::string> always_;
+    std::shared_ptr<std::size_t> open_ = std::make_shared<std::size_t>(0);
     std::unordered_map<std::string, std::vector<std::shared_ptr<Connection>>> idle_;
 };
 
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -15,6 +15,7 @@
 constexpr auto readLimit = 10s;  // a request that trickles in
 constexpr auto sweepPeriod = 2s;
 constexpr std::size_t maxUrl = 2048;
+constexpr double crowdedShare = 0.8;  // of the connections
 
 const char* reason(int status) {
     switch (status) {
@@ -117,6 +118,7 @@
     }
 
     void respond(const HttpResponse& response) {
+        keepAlive = keepAlive && !server->crowded();
         std::string head = "HTTP/1.1 " + std::to_string(response.status) + " " +
                            reason(response.status) + "\r\nContent-Type: application/cbor\r\n" +
                            "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
@@ -168,6 +170,11 @@
     loop_.unwatch(listener_.fd());
 }
 
+bool HttpServer::crowded() const {
+    return static_cast<double>(connections_.size()) >
+           static_cast<double>(maxConnections_) * crowdedShare;
+}
+
 void HttpServer::acceptAll() {
     while (true) {
         Socket socket = acceptFrom(listener_);
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -21,6 +21,9 @@
   private:
     struct Connection;
 
+    // More clients than connections may come, say every worker's of a fleet whose other nodes are
+    // gone. When most are taken, each answer ends its connection, so that all get their turn.
+    [[nodiscard]] bool crowded() const;
     void acceptAll();
     void sweep();
 
--- a/src/transport/tcp_network.h
+++ b/src/transport/tcp_network.h
@@ -8,9 +8,10 @@
 
 class TcpNetwork final : public Network {
   public:
-    TcpNetwork(Loop& loop, const std::string& peerAddress, std::map<std::string, std::string> peers,
-               FrameLink::OnFrame onFrame)
-        : client_(loop), link_(loop, peerAddress, std::move(peers), std::move(onFrame)) {}
+    TcpNetwork(Loop& loop, HttpClient client, const std::string& peerAddress,
+               std::map<std::string, std::string> peers, FrameLink::OnFrame onFrame)
+        : client_(std::move(client)),
+          link_(loop, peerAddress, std::move(peers), std::move(onFrame)) {}
 
     void call(const std::string& address, HttpRequest request, Duration timeout,
               HttpDone done) override {
