--- a/src/coordination/context.h
+++ b/src/coordination/context.h
@@ -3,8 +3,10 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <map>
 #include <random>
+#include <set>
 
 #include "app/settings.h"
 #include "bookkeeping/guarded.h"
@@ -61,24 +63,30 @@
     }
     // The part that a machine belongs to while no record says otherwise; every node agrees on it.
     // A part has machines of few zones, so that a gang finds its places together and a cut between
-    // zones parts few of them from their owner.
+    // zones parts few of them from their owner: the nodes stand in the order of their zones, and
+    // each zone has an equal run of them. With one node or less for a zone all its machines would
+    // hang on that node: then by number alone.
     [[nodiscard]] std::uint32_t defaultPart(const std::string& zone, const std::string& id) const {
-        // With one node in a zone all its machines would hang on that node: then by number alone.
-        std::vector<std::uint32_t> near;
-        std::map<std::string, int> nodesIn;
+        std::vector<std::pair<std::string, std::uint32_t>> order;
+        std::set<std::string> zones;
         for (std::uint32_t part = 0; part < nodes.size(); ++part) {
-            ++nodesIn[settings.zoneOf(nodes[part])];
-            if (settings.zoneOf(nodes[part]) == zone) near.push_back(part);
+            order.emplace_back(settings.zoneOf(nodes[part]), part);
+            zones.insert(order.back().first);
         }
-        if (std::any_of(nodesIn.begin(), nodesIn.end(),
-                        [](const auto& entry) { return entry.second < 2; }))
-            near.clear();
-        // Names are given out in order: neighbours, mostly of one type, are dealt out evenly.
+        std::sort(order.begin(), order.end());
         const auto digits = id.find_last_not_of("0123456789") + 1;
         std::uint64_t number = 0;
         std::from_chars(id.data() + digits, id.data() + id.size(), number);
-        return near.empty() ? static_cast<std::uint32_t>(number % nodes.size())
-                            : near[number % near.size()];
+        const auto at = zones.find(zone);
+        if (at == zones.end() || zones.size() >= nodes.size())
+            return static_cast<std::uint32_t>(number % nodes.size());
+        // Names are given out in order: neighbours, mostly of one type, are dealt out evenly.
+        double whole = 0;
+        const double fraction = std::modf(static_cast<double>(number) * goldenRatio, &whole);
+        const double run = static_cast<double>(nodes.size()) / static_cast<double>(zones.size());
+        const auto index = static_cast<double>(std::distance(zones.begin(), at));
+        const auto place = static_cast<std::size_t>((index + fraction) * run);
+        return order[std::min(place, order.size() - 1)].second;
     }
     // A duration spread by plus or minus a quarter, so that nodes don't act in step.
     Duration jittered(Duration around) {
@@ -98,6 +106,7 @@
     std::mt19937_64 rng;
 
   private:
+    static constexpr double goldenRatio = 0.6180339887498949;
     static constexpr double shareOfLimits = 0.92;
 
     [[nodiscard]] protocol::StateLimits stateShare() const {
