--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -21,6 +21,8 @@
 constexpr double idleGpuSeconds = 25;  // what using up a GPU machine's CPUs counts as
 // What has no aim (left) is served as if it had to start this long after its submission.
 constexpr Seconds patience{600};
+constexpr Seconds largestBegin{240};  // what the operators ask of a class's largest jobs
+constexpr Seconds largestLead{120};   // to gather for them
 constexpr auto settledRun = std::chrono::seconds(32);
 constexpr double leastLeftToMove = 20;  // seconds, by the estimate
 constexpr double thinUse = 0.5;
@@ -90,7 +92,18 @@
             consider(objective.within - job.spec.estimate);
     }
     if (job.spec.deadline) consider(*job.spec.deadline - job.spec.estimate);
-    return next ? *next : plus(job.submitted, patience);
+    const auto latest = next ? *next : plus(job.submitted, patience);
+    // A day on which a class's largest gangs don't begin in time is lost, and they need the most
+    // machines at once: behind what is easier to place, under half of them began.
+    if (isLargest(job) && now < plus(job.submitted, largestBegin))
+        return std::min(latest, plus(job.submitted, largestBegin - largestLead));
+    return latest;
+}
+
+bool Placement::isLargest(const Job& job) const {
+    const auto largest = largestGang_.find(job.spec.jobClass);
+    return job.spec.kind == JobKind::gang && job.spec.tasks > 1 && largest != largestGang_.end() &&
+           job.spec.tasks >= largest->second;
 }
 
 Seconds Placement::fetchTime(const Job& job) const {
@@ -163,6 +176,11 @@
 std::vector<Placement::Ready> Placement::readyJobs(Ledger& ledger, std::uint32_t part) {
     std::vector<Ready> ready;
     const auto now = context_.now();
+    for (const auto& [id, job] : ledger.jobs)
+        if (job.spec.kind == JobKind::gang) {
+            auto& largest = largestGang_[job.spec.jobClass];
+            largest = std::max(largest, job.spec.tasks);
+        }
     for (auto& [id, job] : ledger.jobs) {
         if (job.cancelled || job.finishing || now < job.notBefore) continue;
         if (job.spec.kind == JobKind::gang && job.anyClaim()) {
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -99,6 +99,8 @@
     [[nodiscard]] std::uint32_t placesFor(const Openings& openings, const Job& job,
                                           const ZoneUse& zoneUse) const;
 
+    // Of the gangs of its class seen so far.
+    [[nodiscard]] bool isLargest(const Job& job) const;
     [[nodiscard]] static std::uint32_t waitingIn(const Slice& slice);
     std::vector<Ready> readyJobs(Ledger& ledger, std::uint32_t part);
     // How many of a job's tasks do better to wait for machines that have its image.
@@ -151,6 +153,7 @@
     Context& context_;
     Membership& membership_;
     std::uint64_t sequence_ = 0;
+    std::map<std::string, std::uint32_t> largestGang_;  // tasks, by class
 };
 
 std::map<std::string, std::uint32_t> zoneUseOf(const Ledger& ledger, const Job& job);
