--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -11,8 +11,8 @@
 using namespace std::chrono_literals;
 namespace wire = protocol::wire;
 
-constexpr auto workDelay = 30ms;  // gathers what one round of events changes
-constexpr int workRest = 3;       // times what the last round took
+constexpr auto workDelay = 30ms;     // gathers what one round of events changes
+constexpr int workRest = 3;          // times what the last round took
 constexpr auto longestWork = 150ms;  // as far as the pause goes; a longer one was not work
 constexpr auto housekeepingPeriod = 500ms;
 
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -34,7 +34,7 @@
 constexpr auto gatherRenewal = std::chrono::seconds(3);
 constexpr auto gatherPatience = std::chrono::seconds(90);  // in one zone
 constexpr std::uint32_t mostPreempted = 4;
-constexpr double closedPlaceSeconds = 30;   // what closing a place for larger tasks counts as
+constexpr double closedPlaceSeconds = 30;  // what closing a place for larger tasks counts as
 constexpr double emptyMachineSeconds = 4;  // what breaking into an empty machine counts as
 
 transport::WallTime plus(transport::WallTime at, Seconds by) {
@@ -510,9 +510,8 @@
     Resources after = opening.free;
     after -= job.spec.each;
     for (const auto* rival : rivals) {
-        if (rival->spec.jobClass == job.spec.jobClass ||
-            rival->spec.priority > job.spec.priority || rival->spec.each.fits(job.spec.each) ||
-            !rival->spec.each.fits(opening.free) ||
+        if (rival->spec.jobClass == job.spec.jobClass || rival->spec.priority > job.spec.priority ||
+            rival->spec.each.fits(job.spec.each) || !rival->spec.each.fits(opening.free) ||
             !typeAllowed(rival->spec, *kind.type, kind.zone, kind.spot))
             continue;
         closed += fitsIn(*rival, opening.free, rival->spec.tasks) -
@@ -530,9 +529,8 @@
         for (auto& opening : kind.machines) {
             if (!job.spec.each.fits(opening.free) || !job.spec.each.fits(roomOn(opening, job)))
                 continue;
-            const double value =
-                cost(ledger, job, *opening.machine, *kind.type) +
-                closedPlaceSeconds * placesClosed(rivals, kind, opening, job);
+            const double value = cost(ledger, job, *opening.machine, *kind.type) +
+                                 closedPlaceSeconds * placesClosed(rivals, kind, opening, job);
             if (value < bestCost) {
                 bestCost = value;
                 best = &opening;
@@ -571,8 +569,8 @@
 }
 
 Placement::Placed Placement::placeArray(Ledger& ledger, std::uint32_t part, Job& job,
-                                        Openings& openings, const Rivals& rivals,
-                                        Resources& left, bool& overShare, bool cachedOnly) {
+                                        Openings& openings, const Rivals& rivals, Resources& left,
+                                        bool& overShare, bool cachedOnly) {
     auto zoneUse = zoneUseOf(ledger, job);
     Placed placed;
     std::optional<std::uint32_t> mayWait;  // worked out when the first would have to fetch
@@ -716,9 +714,8 @@
         // What waits for its turn has machines rented for it, but only once: each round it once
         // asked for all of them again.
         const auto missing =
-            waitsTurn
-                ? job.spec.tasks - std::min(job.spec.tasks, heldFor(*ledger, part, job))
-                : gather(*ledger, part, job, openings, blockedZones);
+            waitsTurn ? job.spec.tasks - std::min(job.spec.tasks, heldFor(*ledger, part, job))
+                      : gather(*ledger, part, job, openings, blockedZones);
         unplaced.push_back({job.spec.id, missing, false, true, job.gatherZone, waitsTurn});
     }
     for (auto& ready : toFetch) {
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -130,8 +130,7 @@
     void stopBrokenGang(Job& job);
     bool canEmpty(Ledger& ledger, const Machine& machine, std::vector<Claim*>& claims);
     // Of what runs on the part and could be stopped for others.
-    [[nodiscard]] static protocol::Priority lowestRunning(const Ledger& ledger,
-                                                          std::uint32_t part);
+    [[nodiscard]] static protocol::Priority lowestRunning(const Ledger& ledger, std::uint32_t part);
     bool makeRoom(Ledger& ledger, const Openings& openings, const Job& job,
                   std::set<std::string>& machines);
     [[nodiscard]] Opening* choose(Ledger& ledger, Openings& openings, const Job& job,
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -22,6 +22,7 @@
 constexpr auto refusedPause = 3s;   // a machine that had no room, or knew no such job
 constexpr int errorsToQuarantine = 2;
 constexpr auto quarantine = 10min;
+constexpr double waitsOn = 4;  // times what a task of a gang waits for the others
 constexpr auto firstBackoff = 2s;
 constexpr auto longestBackoff = 60s;
 
@@ -192,8 +193,17 @@
     }
     claim->seen = true;
     claim->state = task.state;
-    if (task.state == TaskState::exited)
-        return takeExit(ledger, machine, *job, *slice, *claim, task);
+    if (task.state == TaskState::exited) {
+        if (task.cause != ExitCause::alone || !mayWaitOn(machine, *job, *claim))
+            return takeExit(ledger, machine, *job, *slice, *claim, task);
+        // The others still fetch. Its place stands, and under the same attempt it waits on there:
+        // whole gangs lost their places because one machine fetched longer than they may wait.
+        spdlog::debug("task {}/{}: waits on at {}", task.job, task.index, machine.id);
+        claim->state = TaskState::fetching;
+        commands.push_back({CommandKind::forget, task.job, task.index, task.attempt, {}});
+        commands.push_back({CommandKind::start, task.job, task.index, task.attempt, {}});
+        return;
+    }
     if (task.state != TaskState::fetching) ledger.noteImage(machine, job->spec);
     if (task.state == TaskState::running && !claim->ran) {
         claim->ran = context_.now();
@@ -207,6 +217,22 @@
             {CommandKind::stop, task.job, task.index, task.attempt, *claim->stopGrace});
 }
 
+bool Reports::mayWaitOn(const Machine& machine, const Job& job, const Claim& claim) const {
+    if (!mayStartOn(machine) || !startable(job, claim) ||
+        context_.now() - claim.made > ticks(context_.settings.gangWait * waitsOn))
+        return false;
+    return std::all_of(job.slices.begin(), job.slices.end(), [](const Slice& slice) {
+        return std::none_of(slice.claims.begin(), slice.claims.end(),
+                            [](const Claim& other) { return other.ran.has_value(); });
+    });
+}
+
+bool Reports::mayStartOn(const Machine& machine) const {
+    // Without the state service a start would rest on records that may have changed.
+    return membership_.leaseStands() && !machine.retired && !machine.noticeEnds &&
+           machine.shown >= machine.firstToken;
+}
+
 void Reports::takeExit(Ledger& ledger, Machine& machine, Job& job, Slice& slice, Claim& claim,
                        const protocol::TaskReport& task) {
     if (!claim.durable) return;  // its record is being written; the report will say it again
@@ -273,10 +299,7 @@
 
 void Reports::addStarts(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report,
                         std::vector<Command>& commands) {
-    // Without the state service a start would rest on records that may have changed.
-    if (!membership_.leaseStands() || machine.retired || machine.noticeEnds ||
-        report.token < machine.firstToken)
-        return;
+    if (!mayStartOn(machine) || report.token < machine.firstToken) return;
     for (const auto& ref : machine.claims) {
         if (find(report, ref) != nullptr) continue;
         const auto [job, slice, claim] = ledger.held(ref);
--- a/src/coordination/reports.h
+++ b/src/coordination/reports.h
@@ -47,6 +47,9 @@
                   std::vector<protocol::Command>& commands);
     void takeExit(Ledger& ledger, Machine& machine, Job& job, Slice& slice, Claim& claim,
                   const protocol::TaskReport& task);
+    [[nodiscard]] bool mayStartOn(const Machine& machine) const;
+    // A gang's task that waited for the others in vain, while all have their places.
+    [[nodiscard]] bool mayWaitOn(const Machine& machine, const Job& job, const Claim& claim) const;
     void order(const Machine& machine, const std::vector<protocol::Command>& commands);
     void addStarts(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report,
                    std::vector<protocol::Command>& commands);
--- a/tests/sim/scenario_main.cpp
+++ b/tests/sim/scenario_main.cpp
@@ -195,6 +195,8 @@
             world.deafen(machine(3), length(5));
         } else if (word == "copy-reports") {
             world.copyReports(line.numberAt(3), length(4));
+        } else if (word == "repeat-requests") {
+            world.repeatRequests(line.numberAt(3), length(4));
         } else if (word == "cut-zone") {
             world.cutZone(line.at(3), length(5), line.has("hold"));
         } else if (word == "part-zones") {
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -259,6 +259,11 @@
         done(std::move(response));
     };
     at(now_ + timeout, [finish] { finish(std::nullopt); });
+    if (request.method == "POST" && std::uniform_real_distribution<>(0, 1)(rng_) < repeatedShare_)
+        at(now_ + latestRepeat_ * std::uniform_real_distribution<>(0.02, 1)(rng_),
+           [this, from, address, request] {
+               serve(from, address, request, [](const HttpResponse&) {});
+           });
     deliver(from, address, [this, from, address, request = std::move(request), finish] {
         serve(from, address, request, [this, from, address, finish](HttpResponse response) {
             if (std::uniform_real_distribution<>(0, 1)(rng_) < lostAnswers_) return;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -66,6 +66,11 @@
         copiedShare_ = share;
         latestCopy_ = latest;
     }
+    // This share of requests to anybody is carried out once more, up to so much later.
+    void repeatRequests(double share, Time latest) {
+        repeatedShare_ = share;
+        latestRepeat_ = latest;
+    }
     void cutZone(const std::string& zone, Time length, bool hold);
     void partZones(const std::string& one, const std::string& other, Time length, bool hold);
     void refusePeers(Time length);
@@ -164,6 +169,8 @@
     double lostAnswers_ = 0;
     double copiedShare_ = 0;
     Time latestCopy_{};
+    double repeatedShare_ = 0;
+    Time latestRepeat_{};
 };
 
 }  // namespace fawnwheel::sim
