Peers keep busy machines for a gang that goes before their own work

They now keep some as they come free, while the gang asks and nothing can be rented, and give up what a later gang keeps.

--- a/src/coordination/loans.cpp
+++ b/src/coordination/loans.cpp
@@ -12,7 +12,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto unusedLoan = 5s;  // then it goes back
+constexpr auto unusedLoan = 5s;   // then it goes back
+constexpr auto keptForPeer = 4s;  // a busy machine, until the next ask
 
 }  // namespace
 
@@ -24,32 +25,50 @@
         const Job* job = ledger->job(entry.job);
         if (job == nullptr || job->part != part) continue;
         if (!asking_.due(entry.job, context_.now())) continue;
-        std::vector<std::pair<std::uint32_t, std::uint32_t>> order;  // idle, part
-        std::uint32_t total = 0;
+        struct Lender {
+            std::uint32_t idle = 0;
+            std::uint32_t busy = 0;  // of use to it once they are free
+            std::uint32_t part = 0;
+            std::uint32_t asked = 0;
+        };
+        std::vector<Lender> lenders;
         for (std::uint32_t other = 0; other < context_.partCount(); ++other) {
             if (other == part || !ledger->nodes.contains(ledger->parts[other].owner)) continue;
-            std::uint32_t idle = 0;
+            Lender lender{0, 0, other, 0};
             for (const auto* machine : ledger->machinesOf(other)) {
                 const auto* type = context_.type(machine->type);
-                if (machine->claims.empty() && !machine->retired && machine->version != 0 &&
-                    type != nullptr && (entry.zone.empty() || machine->zone == entry.zone) &&
-                    Placement::typeAllowed(job->spec, *type, machine->zone, machine->spot))
-                    ++idle;
+                if (machine->retired || machine->version == 0 || type == nullptr ||
+                    (!entry.zone.empty() && machine->zone != entry.zone) ||
+                    !Placement::typeAllowed(job->spec, *type, machine->zone, machine->spot))
+                    continue;
+                ++(machine->claims.empty() ? lender.idle : lender.busy);
             }
-            if (idle > 0) order.emplace_back(idle, other);
-            total += idle;
+            lenders.push_back(lender);
         }
         // Part of what it lacks is of no use to it unless the rest can come free or be rented, but
         // asking costs little and unused loans go back.
-        if (total == 0) continue;
-        std::sort(order.rbegin(), order.rend());
         auto missing = entry.tasks;
-        for (const auto& [idle, other] : order) {
-            if (missing == 0) break;
-            const auto count = std::min(idle, missing);
-            missing -= count;
-            const protocol::LoanAsk ask{other, part, entry.job, entry.zone, count};
-            const auto& owner = ledger->parts[other].owner;
+        std::sort(lenders.begin(), lenders.end(),
+                  [](const Lender& a, const Lender& b) { return a.idle > b.idle; });
+        for (auto& lender : lenders) {
+            lender.asked = std::min(lender.idle, missing);
+            missing -= lender.asked;
+        }
+        // Under a load that never leaves a machine idle, peers have to keep some as they come free:
+        // a gang larger than its part else never began (scenario largest_first).
+        if (!placement_.rentable(*job, entry.zone)) {
+            std::sort(lenders.begin(), lenders.end(),
+                      [](const Lender& a, const Lender& b) { return a.busy > b.busy; });
+            for (auto& lender : lenders) {
+                const auto more = std::min(lender.busy, missing);
+                lender.asked += more;
+                missing -= more;
+            }
+        }
+        for (const auto& lender : lenders) {
+            if (lender.asked == 0) continue;
+            const protocol::LoanAsk ask{lender.part, part, entry.job, entry.zone, lender.asked};
+            const auto& owner = ledger->parts[lender.part].owner;
             if (owner == context_.settings.name)
                 onAsk(owner, ask);
             else
@@ -83,18 +102,33 @@
             ledger->parts[ask.borrower].owner != peer || !membership_.active(ask.lender) ||
             !membership_.leaseStands())
             return;
-        for (const auto* machine : ledger->machinesOf(ask.lender)) {
-            if (lent.size() >=
-                std::min<std::size_t>(ask.machines, context_.settings.transactionChanges))
-                break;
+        std::vector<Machine*> busy;
+        const auto now = context_.now();
+        for (auto* machine : ledger->machinesOf(ask.lender)) {
             const auto* type = context_.type(machine->type);
-            if (!machine->claims.empty() || !placement_.takesWork(*machine) ||
+            if (!placement_.takesWork(*machine) ||
                 (!ask.zone.empty() && machine->zone != ask.zone) ||
                 !Placement::typeAllowed(gang->spec, *type, machine->zone, machine->spot) ||
                 neededHere(*ledger, *machine, *gang))
                 continue;
-            lent.push_back(machine->id);
+            if (!machine->claims.empty()) {
+                const Job* keeps = ledger->job(machine->reservedFor);
+                if (now >= machine->reservedUntil || machine->reservedFor == ask.job ||
+                    (keeps != nullptr && placement_.before(*gang, *keeps)))
+                    busy.push_back(machine);
+            } else if (lent.size() <
+                       std::min<std::size_t>(ask.machines, context_.settings.transactionChanges)) {
+                lent.push_back(machine->id);
+            }
         }
+        // Kept ones first, so that they stay the same; then those with the least work.
+        std::sort(busy.begin(), busy.end(), [&](const Machine* a, const Machine* b) {
+            return std::tuple(a->reservedFor != ask.job, a->used.cpus, a->id) <
+                   std::tuple(b->reservedFor != ask.job, b->used.cpus, b->id);
+        });
+        const auto toKeep = std::min(ask.machines - lent.size(), busy.size());
+        for (std::size_t i = 0; i < toKeep; ++i)
+            placement_.reserve(*busy[i], *gang, 1, keptForPeer);
     }
     if (lent.empty()) return;
     spdlog::info("loan: {} machines for gang {}, part {} to {}", lent.size(), ask.job, ask.lender,
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -334,9 +334,11 @@
         const Job* job = ledger.job(machine->reservedFor);
         // What gangs gather is dealt out anew each time, in the queue's order: a later one never
         // holds what completes an earlier one.
-        if (job == nullptr || job->cancelled || job->part != part ||
-            (job->spec.kind == JobKind::gang &&
-             (job->anyClaim() || (machine->heard && now >= job->preemptedUntil))))
+        const bool gang = job != nullptr && job->spec.kind == JobKind::gang;
+        // A peer's gang asks again and again for what is kept for it.
+        const bool peers = gang && job->part != part && !job->anyClaim();
+        if (job == nullptr || job->cancelled || (job->part != part && !peers) ||
+            (gang && !peers && (job->anyClaim() || (machine->heard && now >= job->preemptedUntil))))
             machine->reservedUntil = now;
     }
 }
