--- /dev/null
+++ b/src/coordination/gathering.cpp
@@ -0,0 +1,152 @@
+// Gangs that can't start yet: the zone they gather in and the machines that are kept for them.
+#include <algorithm>
+
+#include "coordination/placement.h"
+
+namespace fawnwheel::coordination {
+
+namespace {
+
+using protocol::JobKind;
+
+constexpr auto gatherRenewal = std::chrono::seconds(3);
+constexpr auto gatherPatience = std::chrono::seconds(90);  // in one zone
+
+}  // namespace
+
+void Placement::reserve(Machine& machine, const Job& job, std::uint32_t tasks,
+                        Duration length) const {
+    machine.reservedFor = job.spec.id;
+    machine.reservedTasks = tasks;
+    machine.reservedRoom = {};
+    for (std::uint32_t i = 0; i < tasks; ++i) machine.reservedRoom += job.spec.each;
+    machine.reservedUntil = context_.now() + length;
+}
+
+void Placement::dropReservations(Ledger& ledger, std::uint32_t part) {
+    const auto now = context_.now();
+    for (auto* machine : ledger.machinesOf(part)) {
+        if (now >= machine->reservedUntil) continue;
+        const Job* job = ledger.job(machine->reservedFor);
+        // What gangs gather is dealt out anew each time, in the queue's order: a later one never
+        // holds what completes an earlier one.
+        const bool gang = job != nullptr && job->spec.kind == JobKind::gang;
+        // A peer's gang asks again and again for what is kept for it.
+        const bool peers = gang && job->part != part && !job->anyClaim();
+        if (job == nullptr || job->cancelled || (job->part != part && !peers) ||
+            (gang && !peers && (job->anyClaim() || (machine->heard && now >= job->preemptedUntil))))
+            machine->reservedUntil = now;
+    }
+}
+
+void Placement::chooseZone(Ledger& ledger, std::uint32_t part, Job& job) {
+    const auto now = context_.now();
+    if (!job.spec.oneZone || (!job.gatherZone.empty() && now - job.gatherSince < gatherPatience))
+        return;
+    // Where most of it could start now; else where the part has most machines for it. A zone that
+    // did not get it together for long gives way to the next best.
+    std::map<std::string, std::pair<std::uint32_t, std::uint32_t>> zones;
+    for (const auto* machine : ledger.machinesOf(part)) {
+        const auto* type = context_.type(machine->type);
+        if (machine->retired || type == nullptr ||
+            !typeAllowed(job.spec, *type, machine->zone, machine->spot))
+            continue;
+        auto& [free, all] = zones[machine->zone];
+        ++all;
+        if ((takesWork(*machine) && allowed(job, *machine)) ||
+            (now < machine->reservedUntil && machine->reservedFor == job.spec.id))
+            ++free;
+    }
+    for (const auto& type : context_.catalog)
+        for (const auto& zone : type.zones)
+            if (typeAllowed(job.spec, type, zone, false)) zones.try_emplace(zone);
+    std::string best;
+    std::tuple<std::uint32_t, bool, std::uint32_t> bestScore{};
+    for (const auto& [zone, counts] : zones) {
+        if (zone == job.gatherZone && zones.size() > 1) continue;
+        const std::tuple score{std::min(counts.first, job.spec.tasks),
+                               zone == context_.settings.zone, counts.second};
+        if (best.empty() || score > bestScore) {
+            best = zone;
+            bestScore = score;
+        }
+    }
+    job.gatherZone = best;
+    job.gatherSince = now;
+}
+
+void Placement::keep(Opening& opening, const Job& job, std::uint32_t tasks) const {
+    reserve(*opening.machine, job, tasks, gatherRenewal);
+    opening.open = opening.free;
+    opening.open -= opening.machine->reservedRoom;
+}
+
+std::uint32_t Placement::heldFor(const Ledger& ledger, std::uint32_t part, const Job& job) const {
+    // Rented for it and booting, or others are being stopped there.
+    const auto now = context_.now();
+    std::uint32_t held = 0;
+    for (const auto* machine : ledger.machinesOf(part))
+        if (now < machine->reservedUntil && machine->reservedFor == job.spec.id &&
+            (job.gatherZone.empty() || machine->zone == job.gatherZone))
+            held += machine->reservedTasks;
+    return held;
+}
+
+std::uint32_t Placement::gather(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
+                                std::set<std::string>& blockedZones) {
+    // A gang would wait for ever behind small work that takes each machine as it comes free. In
+    // the queue's order, each keeps what is free until it has enough; one that lacks machines
+    // keeps later ones from gathering in its zone, so that no two hold half of what both need.
+    const auto& zone = job.gatherZone;
+    const auto now = context_.now();
+    auto held = heldFor(ledger, part, job);
+    for (auto& kind : openings) {
+        if ((!zone.empty() && kind.zone != zone) || !kindAllowed(job, kind, {})) continue;
+        for (auto& opening : kind.machines) {
+            if (held >= job.spec.tasks) return 0;
+            if (now < opening.machine->reservedUntil) continue;
+            const auto fit = fitsIn(job, roomOn(opening, job), job.spec.tasks - held);
+            if (fit == 0) continue;
+            keep(opening, job, fit);
+            held += fit;
+        }
+    }
+    if (held >= job.spec.tasks) return 0;
+    auto missing = job.spec.tasks - held;
+    blockedZones.insert(zone);
+    if (!rentable(job, zone)) missing -= drainFor(openings, job, missing);
+    return missing;
+}
+
+std::uint32_t Placement::drainFor(Openings& openings, const Job& job, std::uint32_t missing) {
+    struct Busy {
+        double used = 0;
+        Opening* opening = nullptr;
+        const MachineType* type = nullptr;
+    };
+    std::vector<Busy> busy;
+    const auto now = context_.now();
+    for (auto& kind : openings) {
+        if ((!job.gatherZone.empty() && kind.zone != job.gatherZone) || !kindAllowed(job, kind, {}))
+            continue;
+        for (auto& opening : kind.machines) {
+            if (now < opening.machine->reservedUntil) continue;
+            // Less used ones come free sooner.
+            busy.push_back({opening.machine->used.cpus / std::max(1.0, kind.type->capacity.cpus),
+                            &opening, kind.type});
+        }
+    }
+    std::sort(busy.begin(), busy.end(), [](const Busy& a, const Busy& b) {
+        return std::tie(a.used, a.opening->machine->id) < std::tie(b.used, b.opening->machine->id);
+    });
+    std::uint32_t kept = 0;
+    for (const auto& entry : busy) {
+        if (kept >= missing) break;
+        const auto fit = fitsIn(job, entry.type->capacity, missing - kept);
+        keep(*entry.opening, job, fit);
+        kept += fit;
+    }
+    return kept;
+}
+
+}  // namespace fawnwheel::coordination
