Owners renew leases only while they know every cancellation that anybody confirmed

Cause: an owner that the state service refused alone, before an outage for all, went on renewing its workers' leases because every peer said that it could not reach the service either; cancellations that a peer had confirmed in between were unknown to it, and their tasks ran on past cancel_s.

Now an owner dates its knowledge by its own clock: by the follow (all that was carried out before the request was sent) or, peer by peer, by statuses in which the peer vouches for all that it or an earlier life of it has told users, with the list of what the owner may lack. It stops answering in time for the leases to end within cancel_s. A change that the follow skips because our own write on the key is under way is noted all the same.

--- /dev/null
+++ b/src/bookkeeping/cancellations.cpp
@@ -0,0 +1,35 @@
+#include "bookkeeping/cancellations.h"
+
+#include <algorithm>
+
+namespace fawnwheel::bookkeeping {
+
+bool CancellationLog::note(const std::string& job, std::uint64_t revision) {
+    if (!known_.insert(job).second) return false;
+    entries_.push_back({job, revision});
+    if (entries_.size() > mostEntries) {
+        const Entry& oldest = entries_.front();
+        if (oldest.revision != unknownRevision)
+            droppedRevision_ = std::max(droppedRevision_, oldest.revision);
+        known_.erase(oldest.job);
+        entries_.pop_front();
+        ++first_;
+    }
+    return true;
+}
+
+CancellationLog::Extract CancellationLog::since(std::uint64_t position, std::uint64_t revision,
+                                                std::size_t most) const {
+    Extract extract;
+    const auto end = first_ + entries_.size();
+    auto at = std::clamp(position, first_, end);
+    for (; at < end && extract.jobs.size() < most; ++at) {
+        const Entry& entry = entries_[at - first_];
+        if (entry.revision > revision) extract.jobs.push_back(entry.job);
+    }
+    extract.next = at;
+    extract.complete = at == end;
+    return extract;
+}
+
+}  // namespace fawnwheel::bookkeeping
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "bookkeeping/cancellations.h"
 #include "protocol/messages.h"
 #include "transport/interfaces.h"
 
@@ -177,11 +178,17 @@
     std::map<std::string, std::pair<std::uint32_t, TeamShare>> sharesLeaving;
     std::vector<protocol::MachineType> catalog;  // as last recorded
     std::uint64_t catalogVersion = 0;
+    CancellationLog cancellations;
     std::set<std::string> goneMachines;  // their records went after proof; names never return
     std::uint64_t applied = 0;           // every change up to this revision is in here
 
     [[nodiscard]] Job* job(const std::string& id);
     [[nodiscard]] Machine* machine(const std::string& id);
+    // Cancelled as far as anybody has told us, be it recorded here or not: its tasks are stopped
+    // and none is started. What is recorded rests on `Job::cancelled` alone.
+    [[nodiscard]] bool calledOff(const Job& job) const {
+        return job.cancelled || cancellations.contains(job.spec.id);
+    }
     [[nodiscard]] const std::vector<Machine*>& machinesOf(std::uint32_t part) const;
     Machine& addMachine(const std::string& id, std::uint32_t part);
     void movePart(Machine& machine, std::uint32_t part);
--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -52,6 +52,7 @@
     }
     known->part = part;
     known->cancelled = flagOf(value, "cancelled");
+    if (known->cancelled) ledger.cancellations.note(id, event.version);
     known->submitted = transport::WallTime(std::chrono::milliseconds(countOf(value, "submitted")));
     known->version = event.version;
     for (auto& slice : known->slices)
@@ -241,6 +242,12 @@
     return std::clamp(even, std::min(smallSlice, most), most);
 }
 
+void noteCancellation(Ledger& ledger, const protocol::Event& event) {
+    const auto id = after(event.key, jobKey);
+    if (id && event.value && flagOf(*event.value, "cancelled"))
+        ledger.cancellations.note(*id, event.version);
+}
+
 void applyEvent(Ledger& ledger, const protocol::Event& event, SteadyTime now) {
     if (event.key == keys::catalog) {
         if (event.value && event.version > ledger.catalogVersion) {
--- a/src/bookkeeping/records.h
+++ b/src/bookkeeping/records.h
@@ -42,4 +42,7 @@
 // value is a deletion.
 void applyEvent(Ledger& ledger, const protocol::Event& event, SteadyTime now);
 
+// Notes a cancellation that a record shows, and nothing else of it.
+void noteCancellation(Ledger& ledger, const protocol::Event& event);
+
 }  // namespace fawnwheel::bookkeeping
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -41,6 +41,9 @@
     };
     committer_.onDoubt = [this] { mirror_.resync(); };
     membership_.synced = [this] { return mirror_.synced(); };
+    membership_.everSynced = [this] { return mirror_.everSynced(); };
+    membership_.recordsCurrentAsOf = [this] { return mirror_.currentAsOf(); };
+    membership_.onCancellations = [this] { noteCancellations(); };
     membership_.ready = [this] { return mirror_.synced() && !context_.catalog.empty(); };
     membership_.busy = [this](std::uint32_t part) { return committer_.busy(part); };
     membership_.onActive = [this](std::uint32_t part) {
@@ -65,7 +68,10 @@
     fleet_.onAnswer = [this] { soon(); };
     intake_.synced = [this] { return mirror_.synced(); };
     intake_.onAccepted = [this] { soon(); };
-    intake_.onCancelled = [this](const std::string&) { noteCancellations(); };
+    intake_.onCancelled = [this](const std::string&) {
+        membership_.spreadCancellations();
+        noteCancellations();
+    };
 }
 
 void Controller::start() {
@@ -109,7 +115,8 @@
     {
         auto ledger = context_.ledger.lock();
         for (const auto& [id, job] : ledger->jobs)
-            if (job.cancelled && job.anyClaim() && stopping_.insert(id).second) fresh.push_back(id);
+            if (ledger->calledOff(job) && job.anyClaim() && stopping_.insert(id).second)
+                fresh.push_back(id);
     }
     for (const auto& id : fresh) reports_.stopNow(id);
 }
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -18,7 +18,14 @@
 constexpr auto rankPause = 1s;      // between successors in line
 constexpr auto handBackAfter = 2s;  // the natural owner must have been back this long
 constexpr double driftMargin = 0.998;
-constexpr auto clockStep = 50ms;  // timers fire in steps
+constexpr auto clockStep = 50ms;                // timers fire in steps
+constexpr auto spreadDelay = 50ms;              // gathers cancellations of the same moment
+constexpr std::size_t mostCancellations = 256;  // in one message
+constexpr double shortened = 0.998;             // for the drift of two clocks
+constexpr double prolonged = 1.002;
+constexpr auto cancelMargin = 1s;
+// While the lease stands, the service is there, and the follow catches up within this.
+constexpr auto followPatience = 8s;
 
 std::uint64_t micros(SteadyTime t) {
     return static_cast<std::uint64_t>(
@@ -40,7 +47,27 @@
     return joined_ && context_.now() < leaseUntil_;
 }
 
+bool Membership::knowsCancellations() const {
+    // A worker that is answered now is gone a lease later. A cancellation confirmed after the
+    // moment up to which we know all of them leaves its tasks `cancel_s`. Refused alone before an
+    // outage for all, an owner once renewed leases for as long as that lasted, and tasks ran on
+    // whose cancellation a peer had confirmed (cancellation_gap).
+    const Seconds room = context_.settings.cancel * shortened -
+                         context_.settings.lease * prolonged - Seconds(cancelMargin);
+    const auto patience =
+        std::max(ticks(room), leaseStands() ? Duration(followPatience) : Duration::zero());
+    const auto now = context_.now();
+    const auto current = recordsCurrentAsOf();
+    if (now <= current + patience) return true;
+    return std::all_of(
+        context_.settings.peers.begin(), context_.settings.peers.end(), [&](const auto& peer) {
+            const auto found = peers_.find(peer.name);
+            return found != peers_.end() && now <= found->second.vouchedAsOf + patience;
+        });
+}
+
 bool Membership::mayAnswerWorkers() const {
+    if (!knowsCancellations()) return false;
     if (leaseStands()) return true;
     if (!joined_ || context_.state.reachable()) return false;
     // Every peer must have said so after `now - confirmationLasts`: one that reaches the state
@@ -84,18 +111,71 @@
     // An echo from the future is an earlier life's of ours.
     if (!status.stateReachable && status.echo != 0 && fromMicros(status.echo) <= now)
         state.saidLost = std::max(state.saidLost, fromMicros(status.echo));
+    takeCancellations(state, status);
 }
 
-void Membership::beat() {
+void Membership::takeCancellations(PeerState& peer, const protocol::Status& status) {
+    if (peer.incarnation != status.incarnation) {
+        peer.incarnation = status.incarnation;
+        peer.taken = 0;
+    }
+    peer.applied = status.applied;
+    peer.acknowledged = status.acknowledgedLife == incarnation_ ? status.acknowledged : 0;
+    bool fresh = false;
+    {
+        auto ledger = context_.ledger.lock();
+        for (const auto& job : status.cancelled)
+            fresh |= ledger->cancellations.note(job, bookkeeping::CancellationLog::unknownRevision);
+    }
+    // A list that begins after what we have leaves a gap, and the peer sends it again.
+    const bool connects = status.position <= peer.taken;
+    if (connects) peer.taken = std::max(peer.taken, status.next);
+    // Dated by our own clock: it was said after we had sent what it echoes. From an earlier life
+    // of ours it holds as well, since we have read the records since.
+    if (connects && status.vouches && status.complete && status.echo != 0 && everSynced() &&
+        fromMicros(status.echo) <= context_.now())
+        peer.vouchedAsOf = std::max(peer.vouchedAsOf, fromMicros(status.echo));
+    if (fresh) onCancellations();
+}
+
+void Membership::sendStatus() {
     for (const auto& peer : context_.settings.peers) {
+        PeerState& state = peers_[peer.name];
         protocol::Status status;
         status.sentAt = micros(context_.now());
-        status.echo = peers_[peer.name].sentAt;
+        status.echo = state.sentAt;
         status.stateReachable = context_.state.reachable();
         status.ready = ready();
+        status.incarnation = incarnation_;
+        status.acknowledgedLife = state.incarnation;
+        status.acknowledged = state.taken;
+        {
+            auto ledger = context_.ledger.lock();
+            const auto& log = ledger->cancellations;
+            status.applied = everSynced() ? ledger->applied : 0;
+            auto extract = log.since(state.acknowledged, state.applied, mostCancellations);
+            status.position = state.acknowledged;
+            status.next = extract.next;
+            status.complete = extract.complete;
+            status.cancelled = std::move(extract.jobs);
+            // An earlier life of ours may have told users what only the records hold.
+            status.vouches = everSynced() && log.covers(state.acknowledged, state.applied);
+        }
         context_.network.sendFrame(peer.name,
                                    protocol::encodePeer({context_.settings.name, status}));
     }
+}
+
+void Membership::spreadCancellations() {
+    if (std::exchange(spreading_, true)) return;
+    context_.timers.after(spreadDelay, [this] {
+        spreading_ = false;
+        sendStatus();
+    });
+}
+
+void Membership::beat() {
+    sendStatus();
     review();
     context_.timers.after(beatPeriod, [this] { beat(); });
 }
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -16,17 +16,23 @@
 
 class Membership {
   public:
-    explicit Membership(Context& context) : context_(context) {}
+    explicit Membership(Context& context)
+        : context_(context), incarnation_(std::max<std::uint64_t>(1, context.rng())) {}
 
     void start();
     void onStatus(const std::string& peer, const protocol::Status& status);
+    // Users are about to be told of a cancellation: peers hear of it at once, not with the next
+    // beat.
+    void spreadCancellations();
     // The mirror has changed or been read.
     void review();
 
     // Our lease with the state service surely stands: nobody can have taken our parts.
     [[nodiscard]] bool leaseStands() const;
     // Workers of our parts may be answered: the lease stands, or every peer has just said that it
-    // can't reach the state service either, so that none can have taken over.
+    // can't reach the state service either, so that none can have taken over; and no cancellation
+    // that somebody was told of may be unknown here for so long that a lease renewed now could
+    // outlast its `cancel_s`.
     [[nodiscard]] bool mayAnswerWorkers() const;
     // Taken by this process, and the ledger holds all that preceded the taking.
     [[nodiscard]] bool active(std::uint32_t part);
@@ -43,6 +49,12 @@
     static constexpr std::chrono::milliseconds confirmationLasts{2000};
 
     std::function<bool()> synced = [] { return false; };
+    // Whether this process has read the records in whole since it began.
+    std::function<bool()> everSynced = [] { return false; };
+    // The records known here hold all that was carried out before this.
+    std::function<SteadyTime()> recordsCurrentAsOf = [] { return SteadyTime{}; };
+    // Peers have told of cancellations unknown so far.
+    std::function<void()> onCancellations = [] {};
     std::function<bool()> ready = [] { return false; };
     std::function<void(std::uint32_t part)> onActive = [](std::uint32_t) {};
     std::function<bool(std::uint32_t part)> busy = [](std::uint32_t) { return false; };
@@ -55,9 +67,17 @@
         bool reachable = true;
         bool ready = false;
         SteadyTime freshSince{};
+        std::uint64_t incarnation = 0;   // theirs
+        std::uint64_t applied = 0;       // revision up to which they have the records
+        std::uint64_t taken = 0;         // of this incarnation's cancellations
+        std::uint64_t acknowledged = 0;  // of ours by them
+        SteadyTime vouchedAsOf{};        // all that they told users before this is known here
     };
 
     void beat();
+    void sendStatus();
+    [[nodiscard]] bool knowsCancellations() const;
+    void takeCancellations(PeerState& peer, const protocol::Status& status);
     void createHold();
     void writeNode(std::uint64_t hold, SteadyTime sent);
     void refreshNodeVersion(std::uint64_t hold, SteadyTime sent);
@@ -69,6 +89,8 @@
     [[nodiscard]] bool settled(std::uint32_t part);
 
     Context& context_;
+    std::uint64_t incarnation_;
+    bool spreading_ = false;
     std::uint64_t hold_ = 0;
     bool joined_ = false;
     SteadyTime leaseUntil_{};
--- a/src/coordination/mirror.cpp
+++ b/src/coordination/mirror.cpp
@@ -11,7 +11,8 @@
 using namespace std::chrono_literals;
 
 constexpr auto retryPause = 300ms;
-constexpr auto followWait = 10s;
+// Short, so that an answer proves the records current often enough also on a quiet day.
+constexpr auto followWait = 3s;
 // Between two follows, so that a stream of changes comes in batches. Small beside a worker's
 // report period; large enough to leave most requests of a node's share to others.
 constexpr double followShareOfRequests = 0.35;
@@ -27,6 +28,7 @@
     synced_ = false;
     items_.clear();
     firstRevision_ = 0;
+    readBegan_ = context_.now();
     readPage({}, ++generation_);
 }
 
@@ -89,15 +91,17 @@
 void Mirror::catchUp() {
     // Until the follow has passed the last page, a claim may be known and its machine not.
     if (synced_ || context_.ledger.lock()->applied < lastRevision_) return;
-    synced_ = true;
+    synced_ = everSynced_ = true;
+    currentAsOf_ = std::max(currentAsOf_, readBegan_);
     onChange();
 }
 
 void Mirror::follow(std::uint64_t generation) {
     const auto since = context_.ledger.lock()->applied;
+    const auto asked = context_.now();
     context_.state.follow(
         bookkeeping::keys::live, since, followWait,
-        [this, generation](const protocol::FollowAnswer& answer) {
+        [this, generation, asked](const protocol::FollowAnswer& answer) {
             if (generation != generation_) return;
             if (answer.tooOld) return resync();
             if (answer.result != protocol::StateResult::ok) {
@@ -111,8 +115,13 @@
                 for (const auto& event : answer.events)
                     if (!inFlight(event.key))
                         bookkeeping::applyEvent(*ledger, event, context_.now());
+                    else
+                        // Its answer may not come for as long as an outage lasts, and until then
+                        // the job's tasks must be stopped all the same.
+                        bookkeeping::noteCancellation(*ledger, event);
                 ledger->applied = std::max(ledger->applied, answer.revision);
             }
+            if (synced_) currentAsOf_ = std::max(currentAsOf_, asked);
             catchUp();
             if (!answer.events.empty()) onChange();
             const auto share =
--- a/src/coordination/mirror.h
+++ b/src/coordination/mirror.h
@@ -16,6 +16,10 @@
     // Everything anew: after a doubt about what the ledger holds.
     void resync();
     [[nodiscard]] bool synced() const { return synced_; }
+    // Read in whole at least once by this process.
+    [[nodiscard]] bool everSynced() const { return everSynced_; }
+    // The ledger holds, or has noted, everything that was carried out before this.
+    [[nodiscard]] SteadyTime currentAsOf() const { return currentAsOf_; }
 
     // Whether one of our own transactions on this key is under way: its answer settles the key.
     std::function<bool(const std::string& key)> inFlight = [](const std::string&) { return false; };
@@ -30,6 +34,9 @@
 
     Context& context_;
     bool synced_ = false;
+    bool everSynced_ = false;
+    SteadyTime currentAsOf_{};
+    SteadyTime readBegan_{};
     std::uint64_t generation_ = 0;
     std::uint64_t firstRevision_ = 0;
     std::uint64_t lastRevision_ = 0;
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -140,7 +140,7 @@
         if (claim == nullptr || !claim->durable) continue;
         // Unless it is still to be started. Starts that don't arrive would keep it waiting for
         // ever; what this report lacks no earlier answer can start any more.
-        if (!claim->seen && !claim->giveUp && !job->cancelled && !machine.retired) {
+        if (!claim->seen && !claim->giveUp && !ledger.calledOff(*job) && !machine.retired) {
             if (claim->startsSent < answersBelieved) continue;
             if (machine.hears()) {
                 spdlog::info("machine {}: does not hear, its tasks go elsewhere", machine.id);
@@ -159,6 +159,7 @@
     Slice* slice = job == nullptr ? nullptr : job->sliceOf(task.index);
     Claim* claim = slice == nullptr ? nullptr : slice->claimOf(task.index);
     const bool proven = machine.shown >= machine.firstToken;
+    const bool calledOff = job != nullptr && ledger.calledOff(*job);
     const bool ours = claim != nullptr && slice->part == machine.part &&
                       claim->machine == machine.id && claim->attempt == task.attempt;
     if (!ours) {
@@ -170,11 +171,11 @@
             return;
         }
         const bool adoptable = job != nullptr && slice != nullptr && claim == nullptr &&
-                               !job->cancelled && !job->finishing && slice->part == machine.part &&
+                               !calledOff && !job->finishing && slice->part == machine.part &&
                                !slice->done[task.index - slice->first] &&
                                job->spec.kind != protocol::JobKind::gang;
         // A late copy of a report, or one from before our time, shows what may be over by now.
-        if (!proven) return;
+        if (!proven && !calledOff) return;
         if (!adoptable) {
             commands.push_back({CommandKind::stop, task.job, task.index, task.attempt, {}});
             return;
@@ -194,7 +195,7 @@
     claim->seen = true;
     claim->state = task.state;
     if (task.state == TaskState::exited) {
-        if (task.cause != ExitCause::alone || !mayWaitOn(machine, *job, *claim))
+        if (task.cause != ExitCause::alone || !mayWaitOn(ledger, machine, *job, *claim))
             return takeExit(ledger, machine, *job, *slice, *claim, task);
         // The others still fetch. Its place stands, and under the same attempt it waits on there:
         // whole gangs lost their places because one machine fetched longer than they may wait.
@@ -210,15 +211,16 @@
         spdlog::debug("task {}/{}: runs on {}, {:.1f} s after its placement", task.job, task.index,
                       machine.id, Seconds(*claim->ran - claim->made).count());
     }
-    if (job->cancelled || machine.retired)
+    if (calledOff || machine.retired)
         commands.push_back({CommandKind::stop, task.job, task.index, task.attempt, {}});
     else if (claim->stopGrace && task.state != TaskState::saving)
         commands.push_back(
             {CommandKind::stop, task.job, task.index, task.attempt, *claim->stopGrace});
 }
 
-bool Reports::mayWaitOn(const Machine& machine, const Job& job, const Claim& claim) const {
-    if (!mayStartOn(machine) || !startable(job, claim) ||
+bool Reports::mayWaitOn(const Ledger& ledger, const Machine& machine, const Job& job,
+                        const Claim& claim) const {
+    if (!mayStartOn(machine) || !startable(ledger, job, claim) ||
         context_.now() - claim.made > ticks(context_.settings.gangWait * waitsOn))
         return false;
     return std::all_of(job.slices.begin(), job.slices.end(), [](const Slice& slice) {
@@ -284,8 +286,8 @@
     onChange();
 }
 
-bool Reports::startable(const Job& job, const Claim& claim) {
-    if (!claim.durable || claim.giveUp || claim.stopGrace || job.cancelled || job.finishing)
+bool Reports::startable(const Ledger& ledger, const Job& job, const Claim& claim) {
+    if (!claim.durable || claim.giveUp || claim.stopGrace || ledger.calledOff(job) || job.finishing)
         return false;
     if (job.spec.kind != protocol::JobKind::gang) return true;
     // A gang is started only when every task has its durable place.
@@ -304,7 +306,7 @@
         if (find(report, ref) != nullptr) continue;
         const auto [job, slice, claim] = ledger.held(ref);
         if (claim == nullptr || slice->part != machine.part) continue;
-        if (!startable(*job, *claim)) continue;
+        if (!startable(ledger, *job, *claim)) continue;
         ++claim->startsSent;
         commands.push_back({CommandKind::start, ref.job, ref.task, ref.attempt, {}});
     }
@@ -343,7 +345,7 @@
             if (claim.durable)
                 orders[claim.machine].push_back(
                     {CommandKind::stop, id, claim.task, claim.attempt,
-                     claim.stopGrace && !job->cancelled ? *claim.stopGrace : Seconds(0)});
+                     claim.stopGrace && !ledger->calledOff(*job) ? *claim.stopGrace : Seconds(0)});
     }
     for (const auto& [name, commands] : orders) {
         if (const Machine* machine = ledger->machine(name)) order(*machine, commands);
--- a/src/coordination/reports.h
+++ b/src/coordination/reports.h
@@ -49,11 +49,12 @@
                   const protocol::TaskReport& task);
     [[nodiscard]] bool mayStartOn(const Machine& machine) const;
     // A gang's task that waited for the others in vain, while all have their places.
-    [[nodiscard]] bool mayWaitOn(const Machine& machine, const Job& job, const Claim& claim) const;
+    [[nodiscard]] bool mayWaitOn(const Ledger& ledger, const Machine& machine, const Job& job,
+                                 const Claim& claim) const;
     void order(const Machine& machine, const std::vector<protocol::Command>& commands);
     void addStarts(Ledger& ledger, Machine& machine, const protocol::WorkerReport& report,
                    std::vector<protocol::Command>& commands);
-    [[nodiscard]] static bool startable(const Job& job, const Claim& claim);
+    [[nodiscard]] static bool startable(const Ledger& ledger, const Job& job, const Claim& claim);
 
     Context& context_;
     Membership& membership_;
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -14,6 +14,10 @@
     void operator()(std::uint32_t& v) { out.number(v); }
     void operator()(bool& v) { out.flag(v); }
     void operator()(std::string& v) { out.text(v); }
+    void operator()(std::vector<std::string>& v) {
+        out.number(v.size());
+        for (const auto& entry : v) out.text(entry);
+    }
 };
 
 struct Read {
@@ -22,6 +26,10 @@
     void operator()(std::uint32_t& v) { v = static_cast<std::uint32_t>(in.number()); }
     void operator()(bool& v) { v = in.flag(); }
     void operator()(std::string& v) { v = in.text(); }
+    void operator()(std::vector<std::string>& v) {
+        // Grows only with what the frame holds, whatever number it claims.
+        for (auto left = in.number(); left > 0 && in.ok(); --left) v.push_back(in.text());
+    }
 };
 
 template <typename Visit>
@@ -30,6 +38,15 @@
     visit(m.echo);
     visit(m.stateReachable);
     visit(m.ready);
+    visit(m.incarnation);
+    visit(m.applied);
+    visit(m.acknowledgedLife);
+    visit(m.acknowledged);
+    visit(m.vouches);
+    visit(m.complete);
+    visit(m.position);
+    visit(m.next);
+    visit(m.cancelled);
 }
 template <typename Visit>
 void fields(MoveAsk& m, Visit visit) {
--- a/src/protocol/peer_codec.h
+++ b/src/protocol/peer_codec.h
@@ -43,6 +43,18 @@
     std::uint64_t echo = 0;    // receiver's `sentAt` as last heard
     bool stateReachable = false;
     bool ready = false;
+    // Cancellations. The sender vouches that all that it or an earlier life of it has told any user
+    // until now is in the receiver's records, in what the receiver has acknowledged, or listed
+    // here; with `complete` nothing is left for the next message.
+    std::uint64_t incarnation = 0;       // of the sender: a new one for each start
+    std::uint64_t applied = 0;           // the sender's records are complete up to this revision
+    std::uint64_t acknowledgedLife = 0;  // the receiver's incarnation as last heard
+    std::uint64_t acknowledged = 0;      // position up to which the sender has its list
+    bool vouches = false;
+    bool complete = false;
+    std::uint64_t position = 0;          // of the list's first entry
+    std::uint64_t next = 0;              // after its last
+    std::vector<std::string> cancelled;  // jobs
 };
 
 // "May I push these tasks to your part?"
--- a/tests/sim/scenario_main.cpp
+++ b/tests/sim/scenario_main.cpp
@@ -120,6 +120,7 @@
         if (word == "nodes") spec.nodes = static_cast<int>(line.numberAt(1));
         if (word == "zones") spec.zones.assign(line.words.begin() + 1, line.words.end());
         if (word == "lease") spec.lease = Time(line.numberAt(1));
+        if (word == "cancel-limit") spec.cancel = Time(line.numberAt(1));
         if (word == "list-lag") spec.listLag = Time(line.numberAt(1));
         if (word == "idle") spec.tuning.idleBeforeReturn = Time(line.numberAt(1));
         if (word == "state-limits") {
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -360,6 +360,7 @@
 
 void World::refuseState(int node, Time length) {
     refusedUntil_["node-" + std::to_string(node)] = now_ + length;
+    at(now_ + length, [this] { answerWatches(); });
     checker_.troubledUntil(now_ + length);
 }
 
@@ -391,7 +392,7 @@
 void World::answerWatches() {
     if (now_ < stateBackAt_) return;
     for (const auto& watch : watches_) {
-        if (!watch->open) continue;
+        if (!watch->open || stateRefuses(watch->from)) continue;
         Json events = Json::array();
         for (const auto& [revision, key, value] : log_) {
             if (revision <= watch->since || !key.starts_with(watch->prefix)) continue;
@@ -406,6 +407,22 @@
     std::erase_if(watches_, [](const auto& watch) { return !watch->open; });
 }
 
+bool World::stateRefuses(const std::string& node) const {
+    const auto refused = refusedUntil_.find(node);
+    return now_ < stateBackAt_ || (refused != refusedUntil_.end() && now_ < refused->second);
+}
+
+void World::endWatch(const std::shared_ptr<Watch>& watch) {
+    if (!watch->open) return;
+    // Watches that are open stay open while their node is not served.
+    if (stateRefuses(watch->from)) {
+        at(now_ + Time(1), [this, watch] { endWatch(watch); });
+        return;
+    }
+    watch->open = false;
+    watch->reply(answer(200, {{wire::revision, revision_}, {wire::events, Json::array()}}));
+}
+
 HttpResponse World::stateTransaction(const Json& body) {
     Json failed = Json::array();
     for (const auto& condition : protocol::listOf(body, wire::conditions)) {
@@ -449,17 +466,14 @@
         watch->prefix = text(wire::queryPrefix);
         watch->since = std::stoull(text(wire::querySince));
         watch->reply = reply;
+        watch->from = from;
+        if (stateRefuses(from)) return reply(answer(503));
         watches_.push_back(watch);
-        at(now_ + Time(std::stod(text(wire::queryWait)) / 1000), [this, watch] {
-            if (!watch->open) return;
-            watch->open = false;
-            watch->reply(answer(200, {{wire::revision, revision_}, {wire::events, Json::array()}}));
-        });
+        at(now_ + Time(std::stod(text(wire::queryWait)) / 1000),
+           [this, watch] { endWatch(watch); });
         return answerWatches();
     }
-    const auto refused = refusedUntil_.find(from);
-    if (now_ < stateBackAt_ || (refused != refusedUntil_.end() && now_ < refused->second))
-        return reply(answer(503));
+    if (stateRefuses(from)) return reply(answer(503));
     const auto body = protocol::decodeCbor(request.body);
     if (path == wire::pathTransaction) return reply(stateTransaction(*body));
     if (path == wire::pathHolds) {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -27,7 +27,7 @@
     std::vector<app::Team> teams;
     app::OperatorSettings tuning;
     Time lease{30};
-    Time cancel{60};
+    Time cancel{60};  // `cancel_s`
     Time listLag{4};
     double stateRequests = 120;
     double stateWrites = 60;
@@ -108,6 +108,7 @@
         std::string prefix;
         std::uint64_t since = 0;
         transport::HttpReply reply;
+        std::string from;
         bool open = true;
     };
 
@@ -124,6 +125,8 @@
     transport::HttpResponse stateTransaction(const protocol::Json& body);
     void changed(const std::string& key, bool deleted);
     void answerWatches();
+    void endWatch(const std::shared_ptr<Watch>& watch);  // its time has run out
+    [[nodiscard]] bool stateRefuses(const std::string& node) const;
     void expireHolds();
     void serveCloud(const transport::HttpRequest& request, const transport::HttpReply& reply);
 
--- a/tests/unit/peer_codec_test.cpp
+++ b/tests/unit/peer_codec_test.cpp
@@ -16,11 +16,21 @@
 }
 
 TEST(PeerCodec, CarriesEveryField) {
-    const auto status = roundTrip(Status{~0ULL, 127, true, false});
+    const auto status = roundTrip(
+        Status{~0ULL, 127, true, false, 9, 10, 11, 12, true, false, 13, 15, {"run-4", "run-5"}});
     EXPECT_EQ(status.sentAt, ~0ULL);
     EXPECT_EQ(status.echo, 127U);
     EXPECT_TRUE(status.stateReachable);
     EXPECT_FALSE(status.ready);
+    EXPECT_EQ(status.incarnation, 9U);
+    EXPECT_EQ(status.applied, 10U);
+    EXPECT_EQ(status.acknowledgedLife, 11U);
+    EXPECT_EQ(status.acknowledged, 12U);
+    EXPECT_TRUE(status.vouches);
+    EXPECT_FALSE(status.complete);
+    EXPECT_EQ(status.position, 13U);
+    EXPECT_EQ(status.next, 15U);
+    EXPECT_EQ(status.cancelled, (std::vector<std::string>{"run-4", "run-5"}));
     const auto ask = roundTrip(MoveAsk{300, 2, "run-1", 7, true, 100'000});
     EXPECT_EQ(ask.ask, 300U);
     EXPECT_EQ(ask.part, 2U);
@@ -66,6 +76,14 @@
     EXPECT_FALSE(reader.ok());
 }
 
+TEST(PeerCodec, ListsTakeNoMoreThanTheFrameHolds) {
+    auto frame = encodePeer({"n", Status{}});
+    frame.back() = '\x7f';  // the list's length
+    EXPECT_FALSE(decodePeer(frame));
+    frame.pop_back();
+    EXPECT_FALSE(decodePeer(frame + "\xff\xff\xff\xff\xff\xff\xff\xff\xff\x01"));
+}
+
 TEST(PeerCodec, SurvivesRandomAndDamagedFrames) {
     std::mt19937 rng(42);
     const auto good = encodePeer({"node-1", MoveAsk{300, 2, "run-1", 7, true, 5}});
