Jobs without together, apart or strays are refused; scenarios for meetings of troubles

The stand-ins learn late transactions, slow state answers, mute machines, slow links, calling off many running jobs while machines hang, calling off at the end, and odd requests; the checker learns starts after a confirmed cancellation, jobs left waiting beside room, and accepted jobs that can't run, each with a planted breach.

--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -84,10 +84,10 @@
         return static_cast<std::uint32_t>(value);
     }
     bool flag(const char* field) {
+        // Only what may be null may also be left out: jobs without one of these were once accepted.
         const Json* found = find(field);
-        if (found == nullptr) return false;
-        if (!found->is_boolean()) fail(field);
-        return found->is_boolean() && found->get<bool>();
+        if (found == nullptr || !found->is_boolean()) return fail(field), false;
+        return found->get<bool>();
     }
     template <typename Enum, typename Table>
     Enum word(const char* field, const Table& table) {
--- a/tests/sim/checker.cpp
+++ b/tests/sim/checker.cpp
@@ -8,6 +8,7 @@
 
 constexpr Time longestSilence{75};
 constexpr Time latestBegin{240};
+constexpr Time longestWait{90};
 
 }  // namespace
 
@@ -49,6 +50,7 @@
     }
     if (spec.spread && sameZone > (spec.tasks + 1) / 2)
         breach("wrong_place", name + " one too many in " + place.zone);
+    if (job.final == "cancelled") ++startsAfterCancel_;
     if (job.final == "cancelled" && at > job.cancelledAt + cancelLimit_)
         breach("ran_cancelled", name + " started");
     job.on[task][place.machine] = place;
@@ -82,12 +84,25 @@
     }
 }
 
+void Checker::waiting(const std::string& id, bool couldStart, Time at) {
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end() || !found->second.accepted) return;
+    JobTruth& job = found->second;
+    if (!couldStart || job.cancelAsked) return job.waitsSince.reset();
+    const auto since = std::max(job.waitsSince.value_or(at), quietSince_);
+    job.waitsSince = since;
+    if (at - since <= longestWait) return;
+    breach("left_waiting", id + " although there is room for it");
+    job.waitsSince = at;
+}
+
 bool Checker::truthDone(const std::string& id) const {
     const auto found = jobs_.find(id);
     return found != jobs_.end() && found->second.done.size() == found->second.spec.tasks;
 }
 
 void Checker::told(const std::string& id, const std::string& state, Time at) {
+    if (bad_.contains(id)) return breach("accepted_bad", id + " is called " + state);
     const auto found = jobs_.find(id);
     if (found == jobs_.end() || found->second.spec.tasks == 0)
         return breach("invented", id + " is called " + state);
--- a/tests/sim/checker.h
+++ b/tests/sim/checker.h
@@ -29,6 +29,10 @@
 
     // From the world: what truly happens.
     void submitted(const protocol::JobSpec& spec, Time at);
+    // A job that no node may accept.
+    void submittedBad(const std::string& job) { bad_.insert(job); }
+    // It has tasks without a place, and a machine that fits has room, or not.
+    void waiting(const std::string& job, bool couldStart, Time at);
     void troubledUntil(Time at) { quietSince_ = std::max(quietSince_, at); }
     void askedToCancel(const std::string& job);
     void started(const std::string& job, std::uint32_t task, const Place& place, Time at);
@@ -46,6 +50,8 @@
 
     [[nodiscard]] const std::vector<std::string>& breaches() const { return breaches_; }
     [[nodiscard]] std::size_t starts() const { return starts_; }
+    // Of jobs whose user had been told that they are cancelled.
+    [[nodiscard]] std::size_t startsAfterCancel() const { return startsAfterCancel_; }
     [[nodiscard]] bool truthDone(const std::string& job) const;
 
   private:
@@ -58,6 +64,7 @@
         Time answeredAt{};
         Time submittedAt{};
         std::optional<Time> begunAt;
+        std::optional<Time> waitsSince;  // although it could start
         std::set<std::uint32_t> done;
         std::map<std::uint32_t, std::map<std::string, Place>> on;  // task -> machine
     };
@@ -73,7 +80,9 @@
     Time quietSince_{};  // all troubles are over
     std::map<std::string, JobTruth> jobs_;
     std::vector<std::string> breaches_;
+    std::set<std::string> bad_;
     std::size_t starts_ = 0;
+    std::size_t startsAfterCancel_ = 0;
 };
 
 }  // namespace fawnwheel::sim
--- a/tests/sim/scenario_main.cpp
+++ b/tests/sim/scenario_main.cpp
@@ -198,6 +198,20 @@
             world.copyReports(line.numberAt(3), length(4));
         } else if (word == "repeat-requests") {
             world.repeatRequests(line.numberAt(3), length(4));
+        } else if (word == "late-writes") {
+            world.lateWrites(line.numberAt(3), length(5));
+        } else if (word == "slow-state") {
+            world.slowState(length(3), length(5));
+        } else if (word == "mute") {
+            world.mute(machine(3), length(5));
+        } else if (word == "slow-links") {
+            world.slowLinks(machine(3), length(4), length(6));
+        } else if (word == "cancel-running") {
+            world.cancelRunning(index(3), Time(line.number("hang")));
+        } else if (word == "cancel-at-end") {
+            world.cancelAtEnd(line.numberAt(3), length(5));
+        } else if (word == "odd-requests") {
+            world.oddRequests(length(4));
         } else if (word == "cut-zone") {
             world.cutZone(line.at(3), length(5), line.has("hold"));
         } else if (word == "part-zones") {
@@ -226,6 +240,10 @@
         } else if (word == "starts-at-most") {
             if (static_cast<double>(world.checker().starts()) > line.numberAt(2))
                 failures.push_back(std::to_string(world.checker().starts()) + " starts");
+        } else if (word == "starts-after-cancel-at-most") {
+            if (static_cast<double>(world.checker().startsAfterCancel()) > line.numberAt(2))
+                failures.push_back(std::to_string(world.checker().startsAfterCancel()) +
+                                   " starts after a confirmed cancellation");
         } else if (word == "machines-at-most") {
             if (static_cast<double>(world.machinesUp()) > line.numberAt(2))
                 failures.push_back(std::to_string(world.machinesUp()) + " machines up");
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -148,6 +148,9 @@
     Time rented{};
     Time hangsUntil{};
     Time deafUntil{};
+    Time muteUntil{};
+    Time slowUntil{};
+    Time slowBy{};
     std::optional<Time> noticeEnds;
     std::uint64_t session = 1;
     std::uint64_t sequence = 0;
@@ -198,6 +201,7 @@
         nodes_.push_back(std::move(node));
     }
     for (int i = 0; i < spec_.nodes; ++i) at(Time(0.1 * i), [this, i] { startNode(i); });
+    at(Time(5), [this] { watchWaiting(); });
 }
 
 World::~World() = default;
@@ -241,7 +245,16 @@
 
 void World::deliver(const std::string& from, const std::string& to, std::function<void()> action) {
     Time delay(std::uniform_real_distribution<>(0.0005, 0.01)(rng_));
-    if (const auto* target = worker(to); target != nullptr && target->deafUntil > now_) return;
+    const auto more = [this](Time most) {
+        return most * std::uniform_real_distribution<>(0, 1)(rng_);
+    };
+    if (const auto* target = worker(to); target != nullptr) {
+        if (target->deafUntil > now_) return;
+        if (target->slowUntil > now_) delay += more(target->slowBy);
+    }
+    if (const auto* source = worker(from); source != nullptr && source->slowUntil > now_)
+        delay += more(source->slowBy);
+    if (now_ < stateSlowUntil_ && (to == "state" || from == "state")) delay += more(stateSlow_);
     const auto found = cuts_.find(std::minmax(from, to));
     if (found != cuts_.end() && found->second.until > now_) {
         if (!found->second.hold) return;
@@ -259,6 +272,7 @@
         done(std::move(response));
     };
     at(now_ + timeout, [finish] { finish(std::nullopt); });
+    if (const auto* source = worker(from); source != nullptr && source->muteUntil > now_) return;
     if (request.method == "POST" && std::uniform_real_distribution<>(0, 1)(rng_) < repeatedShare_)
         at(now_ + latestRepeat_ * std::uniform_real_distribution<>(0.02, 1)(rng_),
            [this, from, address, request] {
@@ -309,6 +323,18 @@
     nth(workers_, machine).deafUntil = now_ + length;
 }
 
+void World::mute(std::size_t machine, Time length) {
+    nth(workers_, machine).muteUntil = now_ + length;
+    checker_.troubledUntil(now_ + length);
+}
+
+void World::slowLinks(std::size_t machine, Time most, Time length) {
+    Worker& w = nth(workers_, machine);
+    w.slowBy = most;
+    w.slowUntil = now_ + length;
+    checker_.troubledUntil(w.slowUntil);
+}
+
 void World::cutZone(const std::string& zone, Time length, bool hold) {
     for (const auto& [host, where] : hosts())
         if (where == zone)
@@ -475,7 +501,17 @@
     }
     if (stateRefuses(from)) return reply(answer(503));
     const auto body = protocol::decodeCbor(request.body);
-    if (path == wire::pathTransaction) return reply(stateTransaction(*body));
+    if (path == wire::pathTransaction) {
+        if (now_ >= lateUntil_ || std::uniform_real_distribution<>(0, 1)(rng_) >= lateShare_)
+            return reply(stateTransaction(*body));
+        const Time later(
+            std::uniform_real_distribution<>(soonestWrite.count(), latestWrite.count())(rng_));
+        at(std::max(now_ + later, stateBackAt_), [this, body = *body] {
+            expireHolds();
+            stateTransaction(body);
+        });
+        return;
+    }
     if (path == wire::pathHolds) {
         const Time length(protocol::numberOf(*body, wire::holdTime) / 1000);
         holds_[nextHold_] = {now_ + length, length};
@@ -764,7 +800,13 @@
 void World::endTask(Worker& w, Task& task, const char* cause, bool kept) {
     const bool done = std::string(cause) == wire::causeDone;
     if (task.placed) checker_.ended(task.job, task.index, w.id, done);
-    if (done) truths_[task.job].done.insert(task.index);
+    if (done) {
+        Truth& truth = truths_[task.job];
+        truth.done.insert(task.index);
+        if (truth.done.size() == truth.spec.tasks && now_ < cancelAtEndUntil_ &&
+            std::uniform_real_distribution<>(0, 1)(rng_) < cancelAtEndShare_)
+            at(now_, [this, job = task.job] { cancel(job); });
+    }
     task.placed = false;
     task.state = wire::stateExited;
     task.cause = cause;
@@ -875,6 +917,7 @@
 
 void World::hang(std::size_t machine, Time length) {
     nth(workers_, machine).hangsUntil = now_ + length;
+    checker_.troubledUntil(now_ + length);
 }
 
 void World::die(std::size_t machine) {
@@ -974,6 +1017,117 @@
             });
 }
 
+void World::cancelRunning(int count, Time hangs) {
+    int hung = 0;
+    for (const auto& [id, truth] : truths_) {
+        if (count == 0) break;
+        const auto runs = [&id = id](const Task& task) { return task.job == id && task.placed; };
+        std::vector<Worker*> places;
+        for (const auto& [name, w] : workers_)
+            if (!w->gone && std::any_of(w->tasks.begin(), w->tasks.end(), runs))
+                places.push_back(w.get());
+        if (places.empty()) continue;
+        --count;
+        at(now_ + Time(std::uniform_real_distribution<>(0, 0.2)(rng_)),
+           [this, id = id] { cancel(id); });
+        if (hangs <= Time(0) || hung++ >= 8) continue;
+        places.front()->hangsUntil = now_ + hangs;
+        checker_.troubledUntil(now_ + hangs);
+    }
+}
+
+void World::oddRequests(Time length) {
+    oddUntil_ = std::max(oddUntil_, now_ + length);
+    if (truths_.empty()) return;
+    const auto& [id, truth] =
+        *std::next(truths_.begin(), static_cast<std::ptrdiff_t>(rng_() % truths_.size()));
+    if (truth.told == "done") {
+        cancel(id);
+    } else if (!truth.told.empty()) {
+        sendSubmit(id, now_);
+    }
+    auto spec = truth.spec;
+    spec.id = "run-odd-" + std::to_string(oddJobs_++);
+    auto body = protocol::encodeJobSpec(spec);
+    switch (oddJobs_ % 3) {
+        case 0:
+            // Any of those that may be neither null nor absent.
+            for (const auto* field : {wire::types, wire::zone, wire::deadline}) body.erase(field);
+            body.erase(std::next(body.begin(), static_cast<std::ptrdiff_t>(rng_() % body.size())));
+            break;
+        case 1:
+            body[wire::cpus] = 100'000.0;
+            break;
+        default:
+            body[wire::tasks] = "three";
+    }
+    sendBad(spec.id, std::move(body));
+    if (now_ + Time(1) < oddUntil_) at(now_ + Time(1), [this] { oddRequests(oddUntil_ - now_); });
+}
+
+void World::sendBad(const std::string& id, Json body) {
+    checker_.submittedBad(id);
+    request("users", nodes_[static_cast<std::size_t>(someNode())]->name,
+            {"POST", wire::pathJobs, protocol::encodeCbor(body)}, Time(5),
+            [this, id](const std::optional<HttpResponse>& response) {
+                if (response && response->status / 100 == 2) checker_.told(id, "pending", now_);
+            });
+}
+
+// What users count: a job that waits although a machine that fits has room.
+void World::watchWaiting() {
+    for (const auto& [id, truth] : truths_)
+        if (truth.submitted) checker_.waiting(id, couldStart(id), now_);
+    at(now_ + Time(5), [this] { watchWaiting(); });
+}
+
+bool World::couldStart(const std::string& id) {
+    const Truth& truth = truths_[id];
+    const auto& spec = truth.spec;
+    if (truth.faulty || truth.told == "done" || truth.told == "cancelled") return false;
+    std::set<std::uint32_t> placed = truth.done;
+    protocol::Resources team;
+    std::map<std::string, std::uint32_t> places;  // by zone
+    const bool gang = spec.kind == protocol::JobKind::gang;
+    for (const auto& [name, w] : workers_) {
+        if (!w->up || w->gone) continue;
+        const auto type = std::find_if(spec_.types.begin(), spec_.types.end(),
+                                       [&w = w](const auto& t) { return t.type.name == w->type; });
+        auto room = type->type.capacity;
+        for (const auto& task : w->tasks) {
+            if (task.state == wire::stateExited) continue;
+            room -= truths_[task.job].spec.each;
+            if (truths_[task.job].spec.team == spec.team) team += truths_[task.job].spec.each;
+            if (task.job == id) placed.insert(task.index);
+        }
+        if ((spec.types &&
+             std::find(spec.types->begin(), spec.types->end(), w->type) == spec.types->end()) ||
+            (spec.zone && *spec.zone != w->zone) || (w->spot && !spec.spot) || w->faulty)
+            continue;
+        while (spec.each.fits(room) && places[w->zone] < spec.tasks) {
+            room -= spec.each;
+            ++places[w->zone];
+        }
+    }
+    // Spread jobs and arrays of one zone that have begun are bound by where their tasks are.
+    if (spec.spread || (spec.oneZone && !gang && !placed.empty())) return false;
+    if (placed.size() >= spec.tasks || (gang && !placed.empty())) return false;
+    const std::uint32_t needed = gang ? spec.tasks : 1;
+    for (const auto& limit : spec_.teams) {
+        if (limit.name != spec.team) continue;
+        const double times = needed;
+        if ((limit.cpusMax > 0 && team.cpus + spec.each.cpus * times > limit.cpusMax) ||
+            (limit.gpusMax > 0 && team.gpus + spec.each.gpus * times > limit.gpusMax))
+            return false;
+    }
+    std::uint32_t all = 0;
+    for (const auto& [zone, count] : places) {
+        all += count;
+        if (spec.oneZone && count >= needed) return true;
+    }
+    return !spec.oneZone && all >= needed;
+}
+
 std::string World::lastTold(const std::string& job) const {
     const auto found = truths_.find(job);
     return found == truths_.end() ? std::string() : found->second.told;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -71,6 +71,31 @@
         repeatedShare_ = share;
         latestRepeat_ = latest;
     }
+    // This share of transactions gets no answer and is carried out 2 to 12 s later.
+    void lateWrites(double share, Time length) {
+        lateShare_ = share;
+        lateUntil_ = now_ + length;
+        checker_.troubledUntil(lateUntil_ + latestWrite);
+    }
+    // Requests to the state service and their answers take up to so much longer.
+    void slowState(Time most, Time length) {
+        stateSlow_ = most;
+        stateSlowUntil_ = now_ + length;
+        checker_.troubledUntil(stateSlowUntil_);
+    }
+    void mute(std::size_t machine, Time length);  // orders reach it, its reports reach nobody
+    // Whatever goes to or from it takes up to so much longer.
+    void slowLinks(std::size_t machine, Time most, Time length);
+    // Users call off so many running jobs at once, and up to eight of their machines hang.
+    void cancelRunning(int count, Time hangs);
+    // This share of the jobs that end is called off at that very moment.
+    void cancelAtEnd(double share, Time length) {
+        cancelAtEndShare_ = share;
+        cancelAtEndUntil_ = now_ + length;
+    }
+    // Submissions are repeated, done jobs called off, and jobs sent that lack a field or fit
+    // nowhere.
+    void oddRequests(Time length);
     void cutZone(const std::string& zone, Time length, bool hold);
     void partZones(const std::string& one, const std::string& other, Time length, bool hold);
     void refusePeers(Time length);
@@ -86,6 +111,8 @@
   private:
     friend class NodeClock;
     friend class NodeNetwork;
+    static constexpr Time soonestWrite{2};
+    static constexpr Time latestWrite{12};
     struct Node;
     struct Worker;
     struct Task;
@@ -137,6 +164,9 @@
     void reportSoon(Worker& worker);
     void obey(Worker& worker, const protocol::Json& calls);
     void stepWorker(Worker& worker);
+    void watchWaiting();
+    [[nodiscard]] bool couldStart(const std::string& job);
+    void sendBad(const std::string& job, protocol::Json body);
     void endTask(Worker& worker, Task& task, const char* cause, bool kept);
     void killAll(Worker& worker);
     [[nodiscard]] protocol::Json reportBody(Worker& worker) const;
@@ -174,6 +204,14 @@
     Time latestCopy_{};
     double repeatedShare_ = 0;
     Time latestRepeat_{};
+    double lateShare_ = 0;
+    Time lateUntil_{};
+    Time stateSlow_{};
+    Time stateSlowUntil_{};
+    double cancelAtEndShare_ = 0;
+    Time cancelAtEndUntil_{};
+    Time oddUntil_{};
+    int oddJobs_ = 0;
 };
 
 }  // namespace fawnwheel::sim
--- a/tests/unit/checker_test.cpp
+++ b/tests/unit/checker_test.cpp
@@ -74,6 +74,46 @@
     checker.tick(Time(13));
     expectOnly("ran_cancelled");
 }
+TEST_F(Planted, GoesOnAfterItsMachineHung) {
+    // The machine hangs over the confirmation and the limit; then the task is still there.
+    checker.started("run-1", 0, here, Time(1));
+    checker.askedToCancel("run-1");
+    checker.troubledUntil(Time(30));
+    checker.told("run-1", "cancelled", Time(2));
+    checker.tick(Time(30));
+    expectOnly("ran_cancelled");
+}
+TEST_F(Planted, StartsAfterConfirmedCancellation) {
+    checker.started("run-1", 0, here, Time(1));
+    checker.askedToCancel("run-1");
+    EXPECT_EQ(checker.startsAfterCancel(), 0U);
+    checker.told("run-1", "cancelled", Time(2));
+    checker.started("run-1", 1, here, Time(3));
+    EXPECT_EQ(checker.startsAfterCancel(), 1U);
+    EXPECT_TRUE(checker.breaches().empty());
+    checker.started("run-1", 2, {"m-2", "small", "a", false}, Time(13));
+    EXPECT_EQ(checker.startsAfterCancel(), 2U);
+    ASSERT_FALSE(checker.breaches().empty());
+    EXPECT_TRUE(checker.breaches().front().starts_with("ran_cancelled:"));
+}
+TEST_F(Planted, LeftWaiting) {
+    checker.told("run-1", "pending", Time(1));
+    checker.troubledUntil(Time(50));
+    checker.waiting("run-1", true, Time(10));
+    checker.waiting("run-1", true, Time(140));
+    EXPECT_TRUE(checker.breaches().empty());
+    checker.waiting("run-1", false, Time(141));
+    checker.waiting("run-1", true, Time(142));
+    checker.waiting("run-1", true, Time(232));
+    EXPECT_TRUE(checker.breaches().empty());
+    checker.waiting("run-1", true, Time(233));
+    expectOnly("left_waiting");
+}
+TEST_F(Planted, AcceptedThoughItCanNotRun) {
+    checker.submittedBad("run-7");
+    checker.told("run-7", "pending", Time(1));
+    expectOnly("accepted_bad");
+}
 TEST_F(Planted, Forgotten) {
     checker.told("run-1", "pending", Time(1));
     checker.toldUnknown("run-1");
--- a/tests/unit/messages_test.cpp
+++ b/tests/unit/messages_test.cpp
@@ -50,8 +50,10 @@
 }
 
 TEST(JobSpec, RefusesWhatIsMissingIllTypedOrOutOfRange) {
-    for (const auto* field : {wire::id, wire::team, wire::kind, wire::priority, wire::tasks,
-                              wire::cpus, wire::image, wire::estimate}) {
+    for (const auto* field :
+         {wire::id, wire::jobClass, wire::team, wire::kind, wire::priority, wire::tasks, wire::cpus,
+          wire::gpus, wire::memory, wire::image, wire::imageSize, wire::oneZone, wire::spread,
+          wire::spot, wire::estimate, wire::checkpoint, wire::save}) {
         auto body = goodJob();
         body.erase(field);
         EXPECT_FALSE(accepted(body)) << field;
