--- a/src/coordination/gathering.cpp
+++ b/src/coordination/gathering.cpp
@@ -93,13 +93,14 @@
 }
 
 std::uint32_t Placement::gather(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
-                                std::set<std::string>& blockedZones) {
+                                std::set<std::string>& blockedZones, std::uint32_t& lacking) {
     // A gang would wait for ever behind small work that takes each machine as it comes free. In
     // the queue's order, each keeps what is free until it has enough; one that lacks machines
     // keeps later ones from gathering in its zone, so that no two hold half of what both need.
     const auto& zone = job.gatherZone;
     const auto now = context_.now();
     auto held = heldFor(ledger, part, job);
+    lacking = 0;
     for (auto& kind : openings) {
         if ((!zone.empty() && kind.zone != zone) || !kindAllowed(job, kind, {})) continue;
         for (auto& opening : kind.machines) {
@@ -113,6 +114,7 @@
     }
     if (held >= job.spec.tasks) return 0;
     auto missing = job.spec.tasks - held;
+    lacking = missing;
     blockedZones.insert(zone);
     if (!rentable(job, zone)) missing -= drainFor(openings, job, missing);
     return missing;
--- a/src/coordination/loans.cpp
+++ b/src/coordination/loans.cpp
@@ -21,7 +21,7 @@
     auto ledger = context_.ledger.lock();
     for (const auto& entry : unplaced) {
         // In the queue's order one gang of a zone is served before the next.
-        if (!entry.gang || entry.waitsTurn || entry.tasks == 0) continue;
+        if (!entry.gang || entry.waitsTurn || entry.lacking == 0) continue;
         const Job* job = ledger->job(entry.job);
         if (job == nullptr || job->part != part) continue;
         if (!asking_.due(entry.job, context_.now())) continue;
@@ -47,7 +47,9 @@
         }
         // Part of what it lacks is of no use to it unless the rest can come free or be rented, but
         // asking costs little and unused loans go back.
-        auto missing = entry.tasks;
+        // A busy machine kept here does not spare the question: two parts with an idle machine each
+        // once left gangs of two waiting for minutes (largest_first).
+        auto missing = entry.lacking;
         std::sort(lenders.begin(), lenders.end(),
                   [](const Lender& a, const Lender& b) { return a.idle > b.idle; });
         for (auto& lender : lenders) {
@@ -56,6 +58,7 @@
         }
         // Under a load that never leaves a machine idle, peers have to keep some as they come free:
         // a gang larger than its part else never began (scenario largest_first).
+        missing = std::min(missing, entry.tasks);
         if (!placement_.rentable(*job, entry.zone)) {
             std::sort(lenders.begin(), lenders.end(),
                       [](const Lender& a, const Lender& b) { return a.busy > b.busy; });
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -377,23 +377,24 @@
             if (cachedOnly && !overShare)
                 toFetch.push_back(ready);
             else
-                unplaced.push_back({job.spec.id, ready.tasks, overShare, false, {}, false});
+                unplaced.push_back({job.spec.id, ready.tasks, overShare, false, {}, false, 0});
             continue;
         }
         if (placeGang(*ledger, part, job, openings, leftFor(job), overShare)) continue;
         // One task alone gathers nothing and lies in one zone anyway.
         if (job.spec.tasks == 1 || overShare) {
-            unplaced.push_back({job.spec.id, ready.tasks, overShare, false, {}, false});
+            unplaced.push_back({job.spec.id, ready.tasks, overShare, false, {}, false, 0});
             continue;
         }
         chooseZone(*ledger, part, job);
         const bool waitsTurn = blockedZones.contains(job.gatherZone);
         // What waits for its turn has machines rented for it, but only once: each round it once
         // asked for all of them again.
+        auto lacking = job.spec.tasks;
         const auto missing =
             waitsTurn ? job.spec.tasks - std::min(job.spec.tasks, heldFor(*ledger, part, job))
-                      : gather(*ledger, part, job, openings, blockedZones);
-        unplaced.push_back({job.spec.id, missing, false, true, job.gatherZone, waitsTurn});
+                      : gather(*ledger, part, job, openings, blockedZones, lacking);
+        unplaced.push_back({job.spec.id, missing, false, true, job.gatherZone, waitsTurn, lacking});
     }
     for (auto& ready : toFetch) {
         Job& job = *ready.job;
@@ -402,7 +403,7 @@
             placeArray(*ledger, part, job, openings, rivals, leftFor(job), overShare, false);
         ready.tasks -= placed.tasks + placed.waiting;
         if (ready.tasks > 0)
-            unplaced.push_back({job.spec.id, ready.tasks, overShare, false, {}, false});
+            unplaced.push_back({job.spec.id, ready.tasks, overShare, false, {}, false, 0});
     }
     return unplaced;
 }
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -14,6 +14,8 @@
     bool gang = false;
     std::string zone;
     bool waitsTurn = false;  // an earlier gang gathers in that zone
+    // A gang: as many have no machine that is free now; for some a busy one is kept here.
+    std::uint32_t lacking = 0;
 };
 
 class Placement {
@@ -120,7 +122,7 @@
                                         const Job& job) const;
     // Keeps machines for a gang that can't start yet; how many are missing.
     std::uint32_t gather(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
-                         std::set<std::string>& blockedZones);
+                         std::set<std::string>& blockedZones, std::uint32_t& lacking);
     // Takes no more other work on busy machines, so that they come free for the gang.
     std::uint32_t drainFor(Openings& openings, const Job& job, std::uint32_t missing);
     void keep(Opening& opening, const Job& job, std::uint32_t tasks) const;
