Peers hear of a cancellation before its user; who has heard asks again before it answers

The node that made it durable now tells its peers first, and one that has heard of it asks the state service anew instead of answering from the older comparison. Called-off jobs get no places either.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -68,8 +68,8 @@
     fleet_.onAnswer = [this] { soon(); };
     intake_.synced = [this] { return mirror_.synced(); };
     intake_.onAccepted = [this] { soon(); };
-    intake_.onCancelled = [this](const std::string&) {
-        membership_.spreadCancellations();
+    intake_.onCancelled = [this](std::function<void()> then) {
+        membership_.spreadCancellations(std::move(then));
         noteCancellations();
     };
 }
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -231,8 +231,10 @@
                             auto ledger = context_.ledger.lock();
                             const Job* job = ledger->job(question.id);
                             cancelled = job != nullptr && job->cancelled;
-                            // Ended by ourselves while this was under way.
-                            if (job == nullptr) {
+                            // Ended by ourselves while this was under way, or called off: its user
+                            // may have been told so by a peer before this answer came, which was
+                            // given before that (mass_cancel).
+                            if (job == nullptr || (!cancelled && ledger->calledOff(*job))) {
                                 standing(question.id, question.done, question.tries + 1);
                                 continue;
                             }
@@ -311,8 +313,7 @@
                     bookkeeping::applyEvent(*ledger, {key, value, answer.revision}, context_.now());
                 }
                 spdlog::debug("job {}: cancelled by its user", id);
-                reply(stateOf(id, Standing::cancelled, true));
-                onCancelled(id);
+                onCancelled([this, id, reply] { reply(stateOf(id, Standing::cancelled, true)); });
             });
     });
 }
--- a/src/coordination/intake.h
+++ b/src/coordination/intake.h
@@ -40,7 +40,9 @@
     void noteFinal(const std::string& id, bool cancelled);
 
     std::function<bool()> synced = [] { return false; };
-    std::function<void(const std::string&)> onCancelled = [](const std::string&) {};
+    // A cancellation is durable; `then` answers its user.
+    std::function<void(std::function<void()> then)> onCancelled =
+        [](const std::function<void()>& then) { then(); };
     std::function<void()> onAccepted = [] {};
 
   private:
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -19,7 +19,7 @@
 constexpr auto handBackAfter = 2s;  // the natural owner must have been back this long
 constexpr double driftMargin = 0.998;
 constexpr auto clockStep = 50ms;                // timers fire in steps
-constexpr auto spreadDelay = 50ms;              // gathers cancellations of the same moment
+constexpr auto spreadDelay = 10ms;              // gathers cancellations of the same moment
 constexpr std::size_t mostCancellations = 256;  // in one message
 constexpr double shortened = 0.998;             // for the drift of two clocks
 constexpr double prolonged = 1.002;
@@ -166,11 +166,12 @@
     }
 }
 
-void Membership::spreadCancellations() {
-    if (std::exchange(spreading_, true)) return;
+void Membership::spreadCancellations(std::function<void()> then) {
+    spreading_.push_back(std::move(then));
+    if (spreading_.size() > 1) return;
     context_.timers.after(spreadDelay, [this] {
-        spreading_ = false;
         sendStatus();
+        for (const auto& next : std::exchange(spreading_, {})) next();
     });
 }
 
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -21,9 +21,10 @@
 
     void start();
     void onStatus(const std::string& peer, const protocol::Status& status);
-    // Users are about to be told of a cancellation: peers hear of it at once, not with the next
-    // beat.
-    void spreadCancellations();
+    // Peers hear of new cancellations now, not with the next beat; `then` may tell the user. Who is
+    // asked about the job from then on knows better than an answer of the state service that was
+    // given before.
+    void spreadCancellations(std::function<void()> then);
     // The mirror has changed or been read.
     void review();
 
@@ -90,7 +91,7 @@
 
     Context& context_;
     std::uint64_t incarnation_;
-    bool spreading_ = false;
+    std::vector<std::function<void()>> spreading_;  // what waits for it
     std::uint64_t hold_ = 0;
     bool joined_ = false;
     SteadyTime leaseUntil_{};
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -168,7 +168,7 @@
             largest = std::max(largest, job.spec.tasks);
         }
     for (auto& [id, job] : ledger.jobs) {
-        if (job.cancelled || job.finishing || now < job.notBefore) continue;
+        if (ledger.calledOff(job) || job.finishing || now < job.notBefore) continue;
         if (job.spec.kind == JobKind::gang && job.anyClaim()) {
             if (job.part == part) stopBrokenGang(job);
             continue;
@@ -201,7 +201,7 @@
     const auto now = context_.now();
     auto ledger = context_.ledger.lock();
     for (const auto& [id, job] : ledger->jobs) {
-        if (job.cancelled || job.finishing || now < job.notBefore ||
+        if (ledger->calledOff(job) || job.finishing || now < job.notBefore ||
             (job.spec.kind == JobKind::gang && job.anyClaim()))
             continue;
         for (const auto& slice : job.slices)
--- a/tests/unit/records_test.cpp
+++ b/tests/unit/records_test.cpp
@@ -120,5 +120,46 @@
     EXPECT_TRUE(ledger.goneMachines.contains("m-1"));
 }
 
+TEST_F(Records, OfACancellationUnderWayNothingElseIsTaken) {
+    auto job = makeJob(3);
+    job.cancelled = true;
+    const protocol::Event event{keys::job(job.spec.id), jobValue(job), 9};
+    job.cancelled = false;
+    applyEvent(ledger, {event.key, jobValue(job), 5}, {});
+    EXPECT_FALSE(ledger.calledOff(*ledger.job(job.spec.id)));
+    noteCancellation(ledger, event);
+    EXPECT_TRUE(ledger.calledOff(*ledger.job(job.spec.id)));
+    EXPECT_FALSE(ledger.job(job.spec.id)->cancelled);
+    EXPECT_EQ(ledger.job(job.spec.id)->version, 5U);
+}
+
+TEST(Cancellations, AReaderGetsWhatItsRecordsLackFromWhereItStopped) {
+    CancellationLog log;
+    EXPECT_TRUE(log.note("run-1", 10));
+    EXPECT_TRUE(log.note("run-2", 30));
+    EXPECT_TRUE(log.note("run-3", 20));
+    EXPECT_FALSE(log.note("run-1", 40));
+    const auto all = log.since(0, 15, 10);
+    EXPECT_EQ(all.jobs, (std::vector<std::string>{"run-2", "run-3"}));
+    EXPECT_TRUE(all.complete);
+    EXPECT_EQ(all.next, 3U);
+    const auto one = log.since(0, 15, 1);
+    EXPECT_EQ(one.jobs, (std::vector<std::string>{"run-2"}));
+    EXPECT_FALSE(one.complete);
+    EXPECT_EQ(log.since(one.next, 15, 10).jobs, (std::vector<std::string>{"run-3"}));
+    EXPECT_TRUE(log.note("run-4", CancellationLog::unknownRevision));
+    EXPECT_EQ(log.since(all.next, 1000, 10).jobs, (std::vector<std::string>{"run-4"}));
+}
+
+TEST(Cancellations, WhoMayLackADroppedOneIsNotCovered) {
+    CancellationLog log;
+    for (std::uint64_t i = 1; i <= 10'001; ++i) log.note("run-" + std::to_string(i), i);
+    EXPECT_FALSE(log.contains("run-1"));
+    EXPECT_FALSE(log.covers(0, 0));
+    EXPECT_TRUE(log.covers(0, 1));
+    EXPECT_TRUE(log.covers(1, 0));
+    EXPECT_EQ(log.since(0, 0, 1).jobs, (std::vector<std::string>{"run-2"}));
+}
+
 }  // namespace
 }  // namespace fawnwheel::bookkeeping
