--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -212,6 +212,7 @@
     Time cancelAtEndUntil_{};
     Time oddUntil_{};
     int oddJobs_ = 0;
+    Time givenAt_{};  // when the answer that is being taken in was given
 };
 
 }  // namespace fawnwheel::sim
--- a/tests/unit/checker_test.cpp
+++ b/tests/unit/checker_test.cpp
@@ -145,6 +145,14 @@
     checker.told("run-1", "running", Time(2));
     expectOnly("went_back");
 }
+TEST_F(Planted, WentBackByWhenItWasGiven) {
+    checker.askedToCancel("run-1");
+    checker.told("run-1", "cancelled", Time(2));
+    checker.told("run-1", "running", Time(2.1), Time(1.9));
+    EXPECT_TRUE(checker.breaches().empty());
+    checker.told("run-1", "running", Time(2.2), Time(2.1));
+    expectOnly("went_back");
+}
 TEST_F(Planted, CancelledUnasked) {
     checker.told("run-1", "cancelled", Time(1));
     expectOnly("went_back");
