A refused taking waits until the records have reached the refusal

Cause: a node that came back from a cut held part records many takings old. Each attempt to take what seemed its own was refused and planned another review, each review tried every part again, and as urgent as leases these calls used up what the node may send, so that its follow never ran: it stayed stale, its part's workers got no answers and their jobs were left for ever.

--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -348,6 +348,14 @@
 }
 
 void Membership::take(std::uint32_t part) {
+    // A refusal says that our records are older than it: the next try waits until they are not.
+    // Back from a cut, a node once tried its stale versions again and again, as urgent as its
+    // lease, and so kept itself from reading what would have shown it better (stale_after_cut).
+    if (const auto failed = failedTakings_.find(part);
+        failed != failedTakings_.end() &&
+        (context_.now() < failed->second.retry ||
+         context_.ledger.lock()->applied < failed->second.revision))
+        return;
     if (!taking_.insert(part).second) return;
     protocol::Transaction transaction;
     bookkeeping::Part next;
@@ -366,28 +374,31 @@
         transaction.changes = {{bookkeeping::keys::part(part), bookkeeping::partValue(next), 0},
                                {bookkeeping::keys::term, protocol::Json{{"term", next.term}}, 0}};
     }
-    context_.state.transact(std::move(transaction), protocol::Urgency::lease,
-                            [this, part, next](const protocol::TransactionAnswer& answer) {
-                                taking_.erase(part);
-                                if (answer.result != protocol::StateResult::ok) {
-                                    // The mirror shows what became of it; then we look again.
-                                    context_.timers.after(context_.jittered(joinPause),
-                                                          [this] { review(); });
-                                    return;
-                                }
-                                spdlog::info("membership: took part {}, term {}", part, next.term);
-                                {
-                                    auto ledger = context_.ledger.lock();
-                                    auto& record = ledger->parts[part];
-                                    record = next;
-                                    record.version = answer.revision;
-                                    ledger->lastTerm = next.term;
-                                    ledger->termVersion = answer.revision;
-                                }
-                                taken_[part] = next.term;
-                                orphanSince_.erase(part);
-                                review();
-                            });
+    context_.state.transact(
+        std::move(transaction), protocol::Urgency::lease,
+        [this, part, next](const protocol::TransactionAnswer& answer) {
+            taking_.erase(part);
+            if (answer.result != protocol::StateResult::ok) {
+                // The mirror shows what became of it; then we look again.
+                const auto pause = context_.jittered(joinPause);
+                failedTakings_[part] = {answer.revision, context_.now() + pause};
+                context_.timers.after(pause, [this] { review(); });
+                return;
+            }
+            spdlog::info("membership: took part {}, term {}", part, next.term);
+            {
+                auto ledger = context_.ledger.lock();
+                auto& record = ledger->parts[part];
+                record = next;
+                record.version = answer.revision;
+                ledger->lastTerm = next.term;
+                ledger->termVersion = answer.revision;
+            }
+            taken_[part] = next.term;
+            failedTakings_.erase(part);
+            orphanSince_.erase(part);
+            review();
+        });
 }
 
 void Membership::handBack(std::uint32_t part) {
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -99,6 +99,11 @@
     std::map<std::uint32_t, std::uint64_t> announced_;
     std::map<std::uint32_t, SteadyTime> orphanSince_;
     std::set<std::uint32_t> taking_;
+    struct Failure {
+        std::uint64_t revision = 0;  // the service's records had reached when it refused
+        SteadyTime retry{};
+    };
+    std::map<std::uint32_t, Failure> failedTakings_;
     std::map<std::string, PeerState> peers_;
 };
 
