--- a/src/bookkeeping/cancellations.cpp
+++ b/src/bookkeeping/cancellations.cpp
@@ -21,14 +21,13 @@
 CancellationLog::Extract CancellationLog::since(std::uint64_t position, std::uint64_t revision,
                                                 std::size_t most) const {
     Extract extract;
-    const auto end = first_ + entries_.size();
-    auto at = std::clamp(position, first_, end);
-    for (; at < end && extract.jobs.size() < most; ++at) {
+    auto at = std::clamp(position, first_, end());
+    for (; at < end() && extract.jobs.size() < most; ++at) {
         const Entry& entry = entries_[at - first_];
         if (entry.revision > revision) extract.jobs.push_back(entry.job);
     }
     extract.next = at;
-    extract.complete = at == end;
+    extract.complete = at == end();
     return extract;
 }
 
--- a/src/bookkeeping/cancellations.h
+++ b/src/bookkeeping/cancellations.h
@@ -22,6 +22,9 @@
     bool note(const std::string& job, std::uint64_t revision);
     [[nodiscard]] bool contains(const std::string& job) const { return known_.contains(job); }
 
+    // The position after the last entry.
+    [[nodiscard]] std::uint64_t end() const { return first_ + entries_.size(); }
+
     struct Extract {
         std::vector<std::string> jobs;
         std::uint64_t next = 0;  // the position after the last entry looked at
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -97,7 +97,8 @@
     reply = limited(std::move(reply));
     const auto known = [this, id = spec.id, reply] {
         standing(id, [this, id, reply](Standing standing) {
-            reply(standing == Standing::unknownJob ? later() : stateOf(id, standing, true));
+            if (standing == Standing::unknownJob) return reply(later());
+            tell(id, standing, true, reply);
         });
     };
     // A job that was accepted once is known, whatever the catalog or the teams say by now.
@@ -105,7 +106,8 @@
     if (auto refusal = check(spec)) {
         return standing(spec.id, [this, id = spec.id, refusal, reply](Standing standing) {
             if (standing == Standing::noAnswer) return reply(later());
-            reply(standing == Standing::unknownJob ? *refusal : stateOf(id, standing, true));
+            if (standing == Standing::unknownJob) return reply(*refusal);
+            tell(id, standing, true, reply);
         });
     }
     Job job;
@@ -161,6 +163,14 @@
                     : protocol::encodeJobState(id, state, done, running));
 }
 
+void Intake::tell(const std::string& id, Standing standing, bool brief, const HttpReply& reply) {
+    auto answer = stateOf(id, standing, brief);
+    if (standing != Standing::cancelled) return reply(std::move(answer));
+    // Also where it was read only: the transaction may have been carried out late, unanswered, and
+    // this is then the first that anybody is told of it.
+    onCancelled([reply, answer = std::move(answer)] { reply(answer); });
+}
+
 void Intake::ask(const std::string& id, HttpReply reply) {
     if (!protocol::validJobId(id)) return reply({404, {}, 0});
     if (const auto found = finals_.find(id); found != finals_.end())
@@ -168,7 +178,7 @@
             stateOf(id, found->second ? Standing::finalCancelled : Standing::finalDone, false));
     if (!synced() || limit_.full()) return reply(later());
     reply = limited(std::move(reply));
-    standing(id, [this, id, reply](Standing standing) { reply(stateOf(id, standing, false)); });
+    standing(id, [this, id, reply](Standing standing) { tell(id, standing, false, reply); });
 }
 
 void Intake::standing(const std::string& id, StandingDone done, int tries) {
@@ -289,7 +299,7 @@
 
 void Intake::tryCancel(const std::string& id, int tries, HttpReply reply) {
     standing(id, [this, id, tries, reply](Standing standing) {
-        if (standing != Standing::active) return reply(stateOf(id, standing, true));
+        if (standing != Standing::active) return tell(id, standing, true, reply);
         protocol::Transaction transaction;
         protocol::Json value;
         const auto key = bookkeeping::keys::job(id);
@@ -313,7 +323,7 @@
                     bookkeeping::applyEvent(*ledger, {key, value, answer.revision}, context_.now());
                 }
                 spdlog::debug("job {}: cancelled by its user", id);
-                onCancelled([this, id, reply] { reply(stateOf(id, Standing::cancelled, true)); });
+                tell(id, Standing::cancelled, true, reply);
             });
     });
 }
--- a/src/coordination/intake.h
+++ b/src/coordination/intake.h
@@ -40,7 +40,7 @@
     void noteFinal(const std::string& id, bool cancelled);
 
     std::function<bool()> synced = [] { return false; };
-    // A cancellation is durable; `then` answers its user.
+    // A cancellation is durable; `then` answers a user.
     std::function<void(std::function<void()> then)> onCancelled =
         [](const std::function<void()>& then) { then(); };
     std::function<void()> onAccepted = [] {};
@@ -60,6 +60,8 @@
     void readJob(const Question& question);
     [[nodiscard]] transport::HttpResponse stateOf(const std::string& id, Standing standing,
                                                   bool brief);
+    void tell(const std::string& id, Standing standing, bool brief,
+              const transport::HttpReply& reply);
     void tryCancel(const std::string& id, int tries, transport::HttpReply reply);
     transport::HttpReply limited(transport::HttpReply reply);
     [[nodiscard]] std::optional<transport::HttpResponse> check(const protocol::JobSpec& spec) const;
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -164,9 +164,11 @@
         context_.network.sendFrame(peer.name,
                                    protocol::encodePeer({context_.settings.name, status}));
     }
+    spread_ = context_.ledger.lock()->cancellations.end();
 }
 
 void Membership::spreadCancellations(std::function<void()> then) {
+    if (context_.ledger.lock()->cancellations.end() == spread_) return then();
     spreading_.push_back(std::move(then));
     if (spreading_.size() > 1) return;
     context_.timers.after(spreadDelay, [this] {
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -92,6 +92,7 @@
     Context& context_;
     std::uint64_t incarnation_;
     std::vector<std::function<void()>> spreading_;  // what waits for it
+    std::uint64_t spread_ = 0;                      // position in the log of cancellations
     std::uint64_t hold_ = 0;
     bool joined_ = false;
     SteadyTime leaseUntil_{};
