--- /dev/null
+++ b/tests/unit/shared_formats_test.cpp
@@ -0,0 +1,181 @@
+// What the version in production reads and writes, byte for byte: while an upgrade runs, both
+// versions work on the same records and exchange the same frames. These texts were written by that
+// version. A test here that fails means that the two no longer understand each other.
+#include <gtest/gtest.h>
+
+#include "bookkeeping/records.h"
+#include "protocol/peer_codec.h"
+
+namespace fawnwheel::bookkeeping {
+namespace {
+
+constexpr auto jobText =
+    R"({"cancelled":false,"part":2,"slice":4,"spec":{"apart":false,"breeds":["g8"],"cache_s":4.0,)"
+    R"("coat":"img-07","cores":8.0,"dusk_s":900.0,"gait":"batch","gpus":1.0,"herd":"train",)"
+    R"("hooves":10,"id":"run-000412","image_gb":6.2,"keeper":"vision","meadow":"a","mem_gb":64.0,)"
+    R"("rank":"urgent","rest_s":30.0,"strays":true,"stride_s":240.0,"together":false},)"
+    R"("submitted":1700000000123})";
+constexpr auto sliceText =
+    R"({"claims":[[2,"m-000231",17592186044417]],"done":[[0,1],[3,3]],"part":1})";
+constexpr auto machineText =
+    R"({"part":2,"retired":false,"spot":true,"type":"g8","zone":"a"})";
+constexpr auto lentMachineText =
+    R"({"floor":720897,"lender":1,"part":2,"retired":true,"spot":false,"type":"g8","zone":"b"})";
+constexpr auto partText = R"({"owner":"spoke-1","term":11})";
+constexpr auto shareText = R"({"shares":[[1.5,24.0],[0.0,64.0]]})";
+constexpr auto catalogText =
+    R"({"breeds":[{"cache_gb":200.0,"cores":96.0,"gpus":8.0,"market_price":4.5,"meadows":["a","b"],)"
+    R"("mem_gb":768.0,"name":"g8","price":12.0,"pull_gb_per_s":1.0,"ready_s":45.0}]})";
+constexpr auto finalText = R"({"cancelled":true})";
+
+class SharedRecords : public ::testing::Test {
+  protected:
+    void put(const std::string& key, const std::string& text, std::uint64_t version) {
+        applyEvent(ledger, {key, Json::parse(text), version}, {});
+    }
+    void putJob() { put("live/job/run-000412", jobText, 5); }
+
+    Ledger ledger;
+};
+
+TEST_F(SharedRecords, KeysAreThoseOfProduction) {
+    EXPECT_STREQ(keys::live, "live/");
+    EXPECT_STREQ(keys::term, "live/term");
+    EXPECT_STREQ(keys::catalog, "live/catalog");
+    EXPECT_EQ(keys::job("run-1"), "live/job/run-1");
+    EXPECT_EQ(keys::slice("run-1", 3), "live/slice/run-1/3");
+    EXPECT_EQ(keys::machine("m-1"), "live/machine/m-1");
+    EXPECT_EQ(keys::part(3), "live/part/3");
+    EXPECT_EQ(keys::node("spoke-1"), "live/node/spoke-1");
+    EXPECT_EQ(keys::share("crew"), "live/share/crew");
+    EXPECT_EQ(keys::final("run-1"), "final/run-1");
+}
+
+TEST_F(SharedRecords, AJobIsReadAndRewrittenAsItWas) {
+    putJob();
+    const Job* job = ledger.job("run-000412");
+    ASSERT_NE(job, nullptr);
+    EXPECT_EQ(job->part, 2U);
+    EXPECT_EQ(job->spec.tasks, 10U);
+    ASSERT_EQ(job->slices.size(), 3U);
+    EXPECT_EQ(job->slices[2].done.size(), 2U);
+    EXPECT_EQ(jobValue(*job).dump(), jobText);
+}
+
+TEST_F(SharedRecords, ASliceIsReadAndRewrittenAsItWas) {
+    putJob();
+    put("live/slice/run-000412/1", sliceText, 6);
+    const Slice& slice = ledger.job("run-000412")->slices[1];
+    EXPECT_EQ(slice.part, 1U);
+    EXPECT_EQ(slice.doneCount, 3U);
+    ASSERT_EQ(slice.claims.size(), 1U);
+    EXPECT_EQ(slice.claims.front().task, 6U);
+    EXPECT_EQ(slice.claims.front().machine, "m-000231");
+    EXPECT_EQ(slice.claims.front().attempt, 17592186044417U);
+    EXPECT_EQ(sliceValue(slice).dump(), sliceText);
+}
+
+TEST_F(SharedRecords, MachinesAreReadAndRewrittenAsTheyWere) {
+    put("live/machine/m-000231", machineText, 7);
+    put("live/machine/m-000232", lentMachineText, 8);
+    EXPECT_EQ(machineValue(*ledger.machine("m-000231")).dump(), machineText);
+    EXPECT_EQ(machineValue(*ledger.machine("m-000232")).dump(), lentMachineText);
+    EXPECT_EQ(ledger.machine("m-000232")->lender, 1U);
+    EXPECT_EQ(ledger.machine("m-000232")->tokenFloor, 720897U);
+    EXPECT_TRUE(ledger.machine("m-000232")->retired);
+}
+
+TEST_F(SharedRecords, PartsSharesTermsCatalogAndFinalsAreReadAndRewrittenAsTheyWere) {
+    put("live/part/2", partText, 9);
+    put("live/share/vision", shareText, 10);
+    put("live/term", R"({"term":11})", 11);
+    put("live/catalog", catalogText, 12);
+    put("live/node/spoke-1", R"({"term":10})", 13);
+    EXPECT_EQ(partValue(ledger.parts[2]).dump(), partText);
+    EXPECT_EQ(shareValue(ledger.shares["vision"]).dump(), shareText);
+    EXPECT_EQ(ledger.lastTerm, 11U);
+    EXPECT_EQ(catalogValue(ledger.catalog).dump(), catalogText);
+    EXPECT_TRUE(ledger.nodes.contains("spoke-1"));
+    EXPECT_TRUE(finalIsCancelled(Json::parse(finalText)));
+    EXPECT_FALSE(finalIsCancelled(Json::parse(R"({"cancelled":false})")));
+}
+
+// What production does with what it does not know. The new version relies on it.
+
+TEST_F(SharedRecords, UnknownKeysAreIgnored) {
+    putJob();
+    put("live/upgraded/spoke-1", R"({"formats":1})", 6);
+    put("live/unheard-of", R"([1,2])", 7);
+    EXPECT_EQ(ledger.jobs.size(), 1U);
+    EXPECT_TRUE(ledger.machines.empty());
+    EXPECT_TRUE(ledger.nodes.empty());
+}
+
+TEST_F(SharedRecords, UnknownFieldsAreIgnored) {
+    auto value = Json::parse(jobText);
+    value["more"] = "text";
+    value["spec"]["unheard_of"] = {"run-1"};
+    put("live/job/run-000412", value.dump(), 5);
+    value = Json::parse(sliceText);
+    value["more"] = 7;
+    put("live/slice/run-000412/1", value.dump(), 6);
+    EXPECT_EQ(jobValue(*ledger.job("run-000412")).dump(), jobText);
+    EXPECT_EQ(sliceValue(ledger.job("run-000412")->slices[1]).dump(), sliceText);
+    EXPECT_TRUE(finalIsCancelled(Json::parse(R"({"cancelled":true,"at":1700000000123})")));
+}
+
+TEST_F(SharedRecords, SlicesBeyondThoseOfTheJobAreIgnored) {
+    putJob();
+    put("live/slice/run-000412/3", sliceText, 6);
+    EXPECT_EQ(ledger.job("run-000412")->slices.size(), 3U);
+}
+
+std::string fromHex(std::string_view hex) {
+    std::string bytes;
+    for (std::size_t i = 0; i + 1 < hex.size(); i += 2)
+        bytes.push_back(static_cast<char>(std::stoi(std::string(hex.substr(i, 2)), nullptr, 16)));
+    return bytes;
+}
+
+std::string toHex(std::string_view bytes) {
+    static constexpr auto digits = "0123456789abcdef";
+    std::string hex;
+    for (const char c : bytes) {
+        hex.push_back(digits[static_cast<unsigned char>(c) >> 4U]);
+        hex.push_back(digits[static_cast<unsigned char>(c) & 15U]);
+    }
+    return hex;
+}
+
+struct SharedFrame {
+    const char* name;
+    const char* hex;
+};
+
+constexpr SharedFrame frames[] = {
+    {"status", "01000773706f6b652d31ac0207010009ac020b0c01000d0f020572756e2d340572756e2d35"},
+    {"move ask", "01010773706f6b652d31ac02020572756e2d310701a08d06"},
+    {"move answer", "01020773706f6b652d31ac0201"},
+    {"no capacity", "01030773706f6b652d31026738016101c03e"},
+    {"loan ask", "01040773706f6b652d3101040572756e2d3201620c"},
+    {"share ask", "01050773706f6b652d3103000572756e2d33"},
+};
+
+TEST(SharedFrames, AreReadAndRewrittenAsTheyWere) {
+    for (const auto& [name, hex] : frames) {
+        const auto envelope = protocol::decodePeer(fromHex(hex));
+        ASSERT_TRUE(envelope.has_value()) << name;
+        EXPECT_EQ(envelope->sender, "spoke-1") << name;
+        EXPECT_EQ(toHex(protocol::encodePeer(*envelope)), hex) << name;
+    }
+}
+
+TEST(SharedFrames, OfUnknownKindOrWithMoreFieldsAreDropped) {
+    for (const auto& [name, hex] : frames)
+        EXPECT_FALSE(protocol::decodePeer(fromHex(std::string(hex) + "00"))) << name;
+    EXPECT_FALSE(protocol::decodePeer(fromHex("01630773706f6b652d3101")));
+    EXPECT_FALSE(protocol::decodePeer(fromHex("02020773706f6b652d31ac0201")));
+}
+
+}  // namespace
+}  // namespace fawnwheel::bookkeeping
