--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -90,6 +90,20 @@
     return ObjectiveKind::other;
 }
 
+// The limits that the state service will have from an unknown moment on: everything is written for
+// the smaller of both from the start, so that the change is never noticed.
+void applyNextLimits(const Section& next, Settings& s) {
+    Settings later = s;
+    next.number("rps", later.stateRequests, 1);
+    next.number("write_rps", later.stateWrites, 1);
+    next.number("value_kb", later.valueKb, 1);
+    next.count("txn_ops", later.transactionChanges);
+    s.stateRequests = std::min(s.stateRequests, later.stateRequests);
+    s.stateWrites = std::min(s.stateWrites, later.stateWrites);
+    s.valueKb = std::min(s.valueKb, later.valueKb);
+    s.transactionChanges = std::min(s.transactionChanges, later.transactionChanges);
+}
+
 }  // namespace
 
 std::vector<std::string> Settings::nodeNames() const {
@@ -150,6 +164,7 @@
     state.number("write_rps", s.stateWrites, 1);
     state.number("value_kb", s.valueKb, 1);
     state.count("txn_ops", s.transactionChanges);
+    applyNextLimits(state.section("next"), s);
     const Section cloud = deployment.section("cloud");
     cloud.number("rps", s.cloudCalls, 0.01);
     cloud.seconds("list_lag_s", s.listLag);
--- a/src/app/settings.h
+++ b/src/app/settings.h
@@ -54,10 +54,19 @@
     Seconds gangWait{30};
     Seconds gangPeer{4};
     Seconds cancel{60};
+    // Of the state service: the smaller of its present limits and of those announced as `next`.
     double stateRequests = 60;
     double stateWrites = 20;
     double valueKb = 4;
     std::size_t transactionChanges = 12;
+    // How many conditions a transaction may have for each change that it may have.
+    static constexpr std::size_t conditionsPerChange = 4;
+    [[nodiscard]] std::size_t transactionConditions() const {
+        return transactionChanges * conditionsPerChange;
+    }
+    [[nodiscard]] std::size_t valueBytes() const {
+        return static_cast<std::size_t>(valueKb * 1024);
+    }
     double cloudCalls = 2;
     Seconds listLag{5};
     double coreShare = 1;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -76,7 +76,7 @@
                        ledger->catalog.end(), same))
             return;
     }
-    if (static_cast<double>(value.dump().size()) > context_.settings.valueKb * 1024) return;
+    if (value.dump().size() > context_.settings.valueBytes()) return;
     const auto types = context_.catalog;
     committer_.commit(0,
                       {{{bookkeeping::keys::catalog, version}},
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -196,7 +196,7 @@
 }
 
 void Intake::flushQuestions() {
-    const auto most = context_.settings.transactionChanges * 4;
+    const auto most = context_.settings.transactionConditions();
     while (!questions_.empty()) {
         protocol::Transaction compare;
         auto batch = std::make_shared<std::vector<std::pair<Question, bool>>>();  // known?
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -38,6 +38,29 @@
     EXPECT_FALSE(errorOf("{").empty());
 }
 
+TEST(Settings, TheSmallerOfPresentAndComingLimitsCounts) {
+    const auto with = [](const std::string& state) {
+        auto text = minimal;
+        text.insert(text.size() - 1, R"(, "deployment": {"state": )" + state + "}");
+        return text;
+    };
+    auto settings = parseSettings(with(
+        R"({"rps": 60, "write_rps": 20, "value_kb": 4, "txn_ops": 12,
+            "next": {"write_rps": 15, "value_kb": 2, "txn_ops": 4}})"));
+    EXPECT_EQ(settings.stateRequests, 60);
+    EXPECT_EQ(settings.stateWrites, 15);
+    EXPECT_EQ(settings.valueBytes(), 2048U);
+    EXPECT_EQ(settings.transactionChanges, 4U);
+    EXPECT_EQ(settings.transactionConditions(), 16U);
+    settings = parseSettings(with(R"({"value_kb": 4, "txn_ops": 12, "next": {"txn_ops": 50}})"));
+    EXPECT_EQ(settings.transactionChanges, 12U);
+    EXPECT_EQ(settings.valueKb, 4);
+    EXPECT_TRUE(errorOf(with(R"({"next": null})")).empty());
+    EXPECT_NE(errorOf(with(R"({"next": {"txn_ops": "few"}})")).find("deployment.state.next.txn_ops"),
+              std::string::npos);
+    EXPECT_NE(errorOf(with(R"({"next": 4})")).find("deployment.state.next"), std::string::npos);
+}
+
 TEST(OperatorSettings, ReadsWhatItKnowsAndRefusesTheRest) {
     const auto settings = parseOperatorSettings(
         "[moves]\nlow = 5\nhigh=50\n; note\n"
