--- /dev/null
+++ b/src/bookkeeping/job.cpp
@@ -0,0 +1,132 @@
+#include "bookkeeping/job.h"
+
+#include <algorithm>
+
+namespace fawnwheel::bookkeeping {
+
+const Claim* Slice::claimOf(std::uint32_t task) const {
+    const auto found = std::find_if(claims.begin(), claims.end(),
+                                    [task](const Claim& c) { return c.task == task; });
+    return found == claims.end() ? nullptr : &*found;
+}
+
+Claim* Slice::claimOf(std::uint32_t task) {
+    return const_cast<Claim*>(std::as_const(*this).claimOf(task));
+}
+
+bool Slice::unstarted(std::uint32_t task) const {
+    return range().contains(task) && !done[task - first] && claimOf(task) == nullptr;
+}
+
+std::uint32_t Slice::waiting() const {
+    const auto started = doneCount + claims.size();
+    const auto gone = leaving ? leaving->count : 0;
+    return size() - static_cast<std::uint32_t>(std::min<std::size_t>(size(), started + gone));
+}
+
+TaskRange Slice::lastUnstarted() const {
+    auto end = first + size();
+    while (end > first && !unstarted(end - 1)) --end;
+    auto begin = end;
+    while (begin > first && unstarted(begin - 1)) --begin;
+    return {begin, end - begin};
+}
+
+void Slice::markDone(std::uint32_t task) {
+    const auto at = task - first;
+    if (at >= done.size() || done[at]) return;
+    done[at] = true;
+    ++doneCount;
+}
+
+bool Job::complete() const {
+    // All tasks are counted: while the record of a slice that was divided off is still to be read,
+    // those that are known may be done without the job being so.
+    return spec.kind != protocol::JobKind::service && doneTasks() == spec.tasks;
+}
+
+bool Job::anyClaim() const {
+    return std::any_of(slices.begin(), slices.end(),
+                       [](const Slice& s) { return !s.claims.empty(); });
+}
+
+std::uint32_t Job::doneTasks() const {
+    std::uint32_t total = 0;
+    for (const auto& slice : slices) total += slice.doneCount;
+    return total;
+}
+
+std::uint32_t Job::claimedTasks() const {
+    std::size_t total = 0;
+    for (const auto& slice : slices) total += slice.claims.size();
+    return static_cast<std::uint32_t>(total);
+}
+
+Slice* Job::sliceOf(std::uint32_t task) {
+    const auto holds = [task](const Slice& slice) { return slice.range().contains(task); };
+    const auto at = task / sliceSize;
+    if (at < slices.size() && holds(slices[at])) return &slices[at];
+    const auto found = std::find_if(slices.begin(), slices.end(), holds);
+    return found == slices.end() ? nullptr : &*found;
+}
+
+std::optional<TaskRange> Job::undividedRange(std::uint32_t index) const {
+    const std::uint64_t first = std::uint64_t{index} * sliceSize;
+    if (first >= spec.tasks) return std::nullopt;
+    const auto begin = static_cast<std::uint32_t>(first);
+    return TaskRange{begin, std::min(sliceSize, spec.tasks - begin)};
+}
+
+Slice& Job::sliceAt(std::uint32_t index) {
+    while (slices.size() <= index) {
+        Slice empty;
+        empty.index = static_cast<std::uint32_t>(slices.size());
+        empty.part = part;
+        empty.divided = true;
+        slices.push_back(std::move(empty));
+    }
+    return slices[index];
+}
+
+bool Job::undivided() const {
+    return spec.kind == protocol::JobKind::gang || spec.oneZone || spec.spread;
+}
+
+std::deque<Slice> makeSlices(const JobSpec& spec, std::uint32_t sliceSize, std::uint32_t part) {
+    std::deque<Slice> slices;
+    for (std::uint32_t first = 0; first < spec.tasks; first += sliceSize) {
+        Slice slice;
+        slice.index = static_cast<std::uint32_t>(slices.size());
+        slice.first = first;
+        slice.part = part;
+        slice.done.assign(std::min(sliceSize, spec.tasks - first), false);
+        slices.push_back(std::move(slice));
+    }
+    return slices;
+}
+
+std::vector<Slice> cutSlice(const Slice& slice, const std::vector<std::uint32_t>& cuts,
+                            std::uint32_t nextIndex) {
+    std::vector<Slice> pieces;
+    for (std::size_t i = 0; i <= cuts.size(); ++i) {
+        const auto first = i == 0 ? slice.first : cuts[i - 1];
+        const auto end = i == cuts.size() ? slice.range().end() : cuts[i];
+        Slice piece;
+        piece.index = i == 0 ? slice.index : nextIndex++;
+        piece.first = first;
+        piece.part = slice.part;
+        piece.done.assign(slice.done.begin() + (first - slice.first),
+                          slice.done.begin() + (end - slice.first));
+        piece.doneCount =
+            static_cast<std::uint32_t>(std::count(piece.done.begin(), piece.done.end(), true));
+        for (const auto& claim : slice.claims)
+            if (piece.range().contains(claim.task)) piece.claims.push_back(claim);
+        piece.divided = slice.divided || !cuts.empty();
+        piece.version = i == 0 ? slice.version : 0;
+        piece.dirty = slice.dirty;
+        pieces.push_back(std::move(piece));
+    }
+    return pieces;
+}
+
+}  // namespace fawnwheel::bookkeeping
--- /dev/null
+++ b/src/bookkeeping/job.h
@@ -0,0 +1,118 @@
+// A job, its slices and the places of its tasks.
+#pragma once
+
+#include <deque>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "protocol/messages.h"
+#include "transport/interfaces.h"
+
+namespace fawnwheel::bookkeeping {
+
+using protocol::JobSpec;
+using protocol::Resources;
+using protocol::Seconds;
+using transport::SteadyTime;
+using transport::WallTime;
+
+// A task's place: durable before its start is sent, until there is proof that the task is gone.
+struct Claim {
+    std::uint32_t task = 0;
+    std::string machine;
+    std::uint64_t attempt = 0;
+    // What follows is not durable.
+    bool durable = false;
+    bool giveUp = false;               // don't start it any more; wait for the proof
+    bool seen = false;                 // reported at least once
+    int startsSent = 0;                // in answers, without a report that shows the task
+    std::optional<Seconds> stopGrace;  // to be stopped, with this much time to save
+    protocol::TaskState state = protocol::TaskState::fetching;
+    SteadyTime made{};
+    std::optional<SteadyTime> ran;  // first reported as running
+};
+
+// Consecutive tasks of a job.
+struct TaskRange {
+    std::uint32_t first = 0;
+    std::uint32_t count = 0;
+
+    [[nodiscard]] std::uint32_t end() const { return first + count; }
+    [[nodiscard]] bool contains(std::uint32_t task) const { return task >= first && task < end(); }
+    bool operator==(const TaskRange&) const = default;
+};
+
+// Consecutive tasks of one job that have one owner and one record.
+struct Slice {
+    std::uint32_t index = 0;
+    std::uint32_t first = 0;  // task
+    std::uint32_t part = 0;
+    std::vector<bool> done;
+    std::uint32_t doneCount = 0;
+    std::vector<Claim> claims;
+    bool divided = false;       // its range is not the one its index gives: the record names it
+    std::uint64_t version = 0;  // 0: no record; as in the job's record
+    bool dirty = false;
+    std::optional<TaskRange> leaving;  // being pushed to a peer: not to be placed here
+
+    [[nodiscard]] std::uint32_t size() const { return static_cast<std::uint32_t>(done.size()); }
+    [[nodiscard]] TaskRange range() const { return {first, size()}; }
+    [[nodiscard]] bool complete() const { return doneCount == done.size(); }
+    [[nodiscard]] bool untouched() const { return claims.empty() && doneCount == 0; }
+    [[nodiscard]] bool isLeaving(std::uint32_t task) const {
+        return leaving && leaving->contains(task);
+    }
+    // Neither done nor claimed.
+    [[nodiscard]] bool unstarted(std::uint32_t task) const;
+    // How many of its tasks wait to be placed here.
+    [[nodiscard]] std::uint32_t waiting() const;
+    // The last consecutive tasks that are unstarted; none: an empty range.
+    [[nodiscard]] TaskRange lastUnstarted() const;
+    [[nodiscard]] const Claim* claimOf(std::uint32_t task) const;
+    [[nodiscard]] Claim* claimOf(std::uint32_t task);
+    void markDone(std::uint32_t task);
+};
+
+struct Job {
+    JobSpec spec;
+    std::uint32_t part = 0;  // home: sees the job through
+    bool cancelled = false;
+    WallTime submitted;
+    std::uint32_t sliceSize = 1;
+    std::uint64_t version = 0;
+    // By index. Those that division has added follow the ones that the size of slices gives; one
+    // without tasks stands for a record that has not been read yet.
+    std::deque<Slice> slices;
+    // Not durable.
+    bool finishing = false;
+    SteadyTime notBefore{};  // backing off
+    int failures = 0;
+    std::set<std::string> failedOn;
+    bool classed = false;         // counted among its class
+    SteadyTime preemptedUntil{};  // others have been stopped for it
+    std::string gatherZone;  // where a waiting gang that must stay in one zone gathers machines
+    SteadyTime gatherSince{};
+
+    [[nodiscard]] bool complete() const;
+    [[nodiscard]] bool anyClaim() const;
+    [[nodiscard]] std::uint32_t doneTasks() const;
+    [[nodiscard]] std::uint32_t claimedTasks() const;
+    [[nodiscard]] Slice* sliceOf(std::uint32_t task);
+    // The tasks of the slice with this index before any division; none: division has added it.
+    [[nodiscard]] std::optional<TaskRange> undividedRange(std::uint32_t index) const;
+    // The slice with this index, made as an empty one if need be.
+    Slice& sliceAt(std::uint32_t index);
+    // Gangs and jobs whose tasks' zones depend on one another have one owner.
+    [[nodiscard]] bool undivided() const;
+};
+
+std::deque<Slice> makeSlices(const JobSpec& spec, std::uint32_t sliceSize, std::uint32_t part);
+
+// The slice cut before each of these tasks (ascending, within it). The first piece keeps the index,
+// the others get indexes from `nextIndex` on and no version.
+std::vector<Slice> cutSlice(const Slice& slice, const std::vector<std::uint32_t>& cuts,
+                            std::uint32_t nextIndex);
+
+}  // namespace fawnwheel::bookkeeping
--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -10,63 +10,6 @@
 
 }  // namespace
 
-Claim* Slice::claimOf(std::uint32_t task) {
-    const auto found = std::find_if(claims.begin(), claims.end(),
-                                    [task](const Claim& c) { return c.task == task; });
-    return found == claims.end() ? nullptr : &*found;
-}
-
-void Slice::markDone(std::uint32_t task) {
-    const auto at = task - first;
-    if (at >= done.size() || done[at]) return;
-    done[at] = true;
-    ++doneCount;
-}
-
-bool Job::complete() const {
-    return spec.kind != protocol::JobKind::service &&
-           std::all_of(slices.begin(), slices.end(), [](const Slice& s) { return s.complete(); });
-}
-
-bool Job::anyClaim() const {
-    return std::any_of(slices.begin(), slices.end(),
-                       [](const Slice& s) { return !s.claims.empty(); });
-}
-
-std::uint32_t Job::doneTasks() const {
-    std::uint32_t total = 0;
-    for (const auto& slice : slices) total += slice.doneCount;
-    return total;
-}
-
-std::uint32_t Job::claimedTasks() const {
-    std::size_t total = 0;
-    for (const auto& slice : slices) total += slice.claims.size();
-    return static_cast<std::uint32_t>(total);
-}
-
-Slice* Job::sliceOf(std::uint32_t task) {
-    const auto at = task / sliceSize;
-    return task < spec.tasks && at < slices.size() ? &slices[at] : nullptr;
-}
-
-bool Job::undivided() const {
-    return spec.kind == protocol::JobKind::gang || spec.oneZone || spec.spread;
-}
-
-std::vector<Slice> makeSlices(const JobSpec& spec, std::uint32_t sliceSize, std::uint32_t part) {
-    std::vector<Slice> slices;
-    for (std::uint32_t first = 0; first < spec.tasks; first += sliceSize) {
-        Slice slice;
-        slice.index = static_cast<std::uint32_t>(slices.size());
-        slice.first = first;
-        slice.part = part;
-        slice.done.assign(std::min(sliceSize, spec.tasks - first), false);
-        slices.push_back(std::move(slice));
-    }
-    return slices;
-}
-
 Job* Ledger::job(const std::string& id) {
     const auto found = jobs.find(id);
     return found == jobs.end() ? nullptr : &found->second;
@@ -114,7 +57,9 @@
 void Ledger::attach(const Job& job, const Claim& claim) {
     Machine* m = machine(claim.machine);
     if (m == nullptr) return;
-    m->claims.push_back({job.spec.id, claim.task, claim.attempt});
+    const TaskRef ref{job.spec.id, claim.task, claim.attempt};
+    if (std::find(m->claims.begin(), m->claims.end(), ref) != m->claims.end()) return;
+    m->claims.push_back(ref);
     m->used += job.spec.each;
     ++imageUse_[job.spec.image][m->part];
 }
@@ -174,9 +119,20 @@
     if (goneMachines.size() > maxGone) goneMachines.erase(goneMachines.begin());
 }
 
-void Ledger::replaceSlice(Job& job, Slice& slice, std::uint32_t part, std::vector<bool> done,
-                          std::vector<Claim> claims) {
-    for (auto& claim : claims) {
+void Ledger::shortenOthers(Job& job, const Slice& slice, const TaskRange& range) {
+    // Both records of a division have one revision; whichever is seen first, no task is in two.
+    for (auto& other : job.slices) {
+        if (&other == &slice || other.first >= range.first || other.range().end() <= range.first)
+            continue;
+        for (const auto& claim : other.claims)
+            if (claim.task >= range.first) detach(job, claim);
+        other = cutSlice(other, {range.first}, 0).front();
+    }
+}
+
+void Ledger::replaceSlice(Job& job, Slice& slice, SliceContent content) {
+    shortenOthers(job, slice, content.range);
+    for (auto& claim : content.claims) {
         claim.durable = true;
         if (const Claim* old = slice.claimOf(claim.task);
             old != nullptr && old->attempt == claim.attempt && old->machine == claim.machine) {
@@ -189,15 +145,23 @@
         }
     }
     for (const auto& claim : slice.claims) detach(job, claim);
-    slice.part = part;
-    slice.done = std::move(done);
+    slice.part = content.part;
+    slice.first = content.range.first;
+    slice.divided = content.divided;
+    slice.done = std::move(content.done);
     slice.doneCount =
         static_cast<std::uint32_t>(std::count(slice.done.begin(), slice.done.end(), true));
-    slice.claims = std::move(claims);
+    slice.claims = std::move(content.claims);
     for (const auto& claim : slice.claims) attach(job, claim);
     slice.dirty = false;
 }
 
+void Ledger::divideSlice(Job& job, std::uint32_t index, const std::vector<Slice>& pieces) {
+    // Claims stay with their tasks and machines, whichever slice they are in.
+    job.sliceAt(index) = pieces.front();
+    for (std::size_t i = 1; i < pieces.size(); ++i) job.sliceAt(pieces[i].index) = pieces[i];
+}
+
 void Ledger::rebuildIndexes() {
     byPart_.clear();
     imageUse_.clear();
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -11,77 +11,10 @@
 #include <vector>
 
 #include "bookkeeping/cancellations.h"
-#include "protocol/messages.h"
-#include "transport/interfaces.h"
+#include "bookkeeping/job.h"
 
 namespace fawnwheel::bookkeeping {
 
-using protocol::JobSpec;
-using protocol::Resources;
-using protocol::Seconds;
-using transport::SteadyTime;
-
-// A task's place: durable before its start is sent, until there is proof that the task is gone.
-struct Claim {
-    std::uint32_t task = 0;
-    std::string machine;
-    std::uint64_t attempt = 0;
-    // What follows is not durable.
-    bool durable = false;
-    bool giveUp = false;               // don't start it any more; wait for the proof
-    bool seen = false;                 // reported at least once
-    int startsSent = 0;                // in answers, without a report that shows the task
-    std::optional<Seconds> stopGrace;  // to be stopped, with this much time to save
-    protocol::TaskState state = protocol::TaskState::fetching;
-    SteadyTime made{};
-    std::optional<SteadyTime> ran;  // first reported as running
-};
-
-// A run of tasks of one job that has one owner.
-struct Slice {
-    std::uint32_t index = 0;
-    std::uint32_t first = 0;  // task
-    std::uint32_t part = 0;
-    std::vector<bool> done;
-    std::uint32_t doneCount = 0;
-    std::vector<Claim> claims;
-    std::uint64_t version = 0;  // 0: no record; as in the job's record
-    bool dirty = false;
-    bool leaving = false;  // being pushed to a peer: not to be placed here
-
-    [[nodiscard]] bool complete() const { return doneCount == done.size(); }
-    [[nodiscard]] bool untouched() const { return claims.empty() && doneCount == 0; }
-    [[nodiscard]] Claim* claimOf(std::uint32_t task);
-    void markDone(std::uint32_t task);
-};
-
-struct Job {
-    JobSpec spec;
-    std::uint32_t part = 0;  // home: sees the job through
-    bool cancelled = false;
-    transport::WallTime submitted;
-    std::uint32_t sliceSize = 1;
-    std::uint64_t version = 0;
-    std::vector<Slice> slices;
-    // Not durable.
-    bool finishing = false;
-    SteadyTime notBefore{};  // backing off
-    int failures = 0;
-    std::set<std::string> failedOn;
-    bool classed = false;         // counted among its class
-    SteadyTime preemptedUntil{};  // others have been stopped for it
-    std::string gatherZone;  // where a waiting gang that must stay in one zone gathers machines
-    SteadyTime gatherSince{};
-
-    [[nodiscard]] bool complete() const;
-    [[nodiscard]] bool anyClaim() const;
-    [[nodiscard]] std::uint32_t doneTasks() const;
-    [[nodiscard]] std::uint32_t claimedTasks() const;
-    [[nodiscard]] Slice* sliceOf(std::uint32_t task);
-    // Gangs and jobs whose tasks' zones depend on one another have one owner.
-    [[nodiscard]] bool undivided() const;
-};
-
 struct TaskRef {
     std::string job;
     std::uint32_t task = 0;
@@ -169,6 +102,9 @@
     std::map<std::string, Machine> machines;
     std::map<std::uint32_t, Part> parts;
     std::map<std::string, std::uint64_t> nodes;  // alive, with the record's version
+    // Nodes that have run a version which knows divided slices and dependencies between jobs. A
+    // name never leaves this set: the version before must not come back.
+    std::set<std::string> upgradedNodes;
     std::uint64_t lastTerm = 0;
     std::uint64_t termVersion = 0;
     // team -> part -> share
@@ -200,9 +136,18 @@
     void removeClaim(Job& job, Slice& slice, std::uint32_t task);
     void dropJob(const std::string& id);
     void dropMachine(const std::string& id);
-    // Replaces a slice's durable content, keeping what is known of claims that stay.
-    void replaceSlice(Job& job, Slice& slice, std::uint32_t part, std::vector<bool> done,
-                      std::vector<Claim> claims);
+    // A slice's durable content.
+    struct SliceContent {
+        std::uint32_t part = 0;
+        TaskRange range;
+        bool divided = false;  // the range is not the one its index gives
+        std::vector<bool> done;
+        std::vector<Claim> claims;
+    };
+    // Replaces it, keeping what is known of claims that stay.
+    void replaceSlice(Job& job, Slice& slice, SliceContent content);
+    // The slice becomes these pieces; the first takes its place, the others those of their index.
+    void divideSlice(Job& job, std::uint32_t index, const std::vector<Slice>& pieces);
     // After the records were read anew.
     void rebuildIndexes();
 
@@ -214,12 +159,12 @@
 
   private:
     void attach(const Job& job, const Claim& claim);
+    // Other slices that still cover these tasks end before them.
+    void shortenOthers(Job& job, const Slice& slice, const TaskRange& range);
     void detach(const Job& job, const Claim& claim);
 
     std::map<std::uint32_t, std::vector<Machine*>> byPart_;
     std::map<std::string, std::map<std::uint32_t, std::uint32_t>> imageUse_;  // by part
 };
 
-std::vector<Slice> makeSlices(const JobSpec& spec, std::uint32_t sliceSize, std::uint32_t part);
-
 }  // namespace fawnwheel::bookkeeping
--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -19,6 +19,9 @@
 constexpr auto partKey = "live/part/";
 constexpr auto nodeKey = "live/node/";
 constexpr auto shareKey = "live/share/";
+constexpr auto upgradedKey = "live/upgraded/";
+constexpr auto rangeFirst = "first";
+constexpr auto rangeCount = "count";
 constexpr double bytesPerTask = 52;  // a claim with long names, plus its done range
 constexpr std::uint32_t smallSlice = 4;
 constexpr std::uint32_t slicesWanted = 16;
@@ -59,32 +62,55 @@
         if (slice.version == 0) slice.part = part;
 }
 
-void applySlice(Ledger& ledger, const std::string& name, const protocol::Event& event) {
-    const auto slash = name.rfind('/');
-    if (slash == std::string::npos) return;
-    Job* job = ledger.job(name.substr(0, slash));
-    const auto index = toNumber(std::string_view(name).substr(slash + 1));
-    if (job == nullptr || !index || *index >= job->slices.size()) return;
-    Slice& slice = job->slices[*index];
-    if (slice.version >= event.version || !event.value) return;
-    const Json& value = *event.value;
-    std::vector<bool> done(slice.done.size(), false);
+std::vector<bool> readDone(const Json& value, std::uint32_t size) {
+    std::vector<bool> done(size, false);
     for (const auto& range : listOf(value, "done")) {
         if (!range.is_array() || range.size() != 2) continue;
         for (auto i = range[0].get<std::size_t>(); i <= range[1].get<std::size_t>(); ++i)
             if (i < done.size()) done[i] = true;
     }
+    return done;
+}
+
+std::vector<Claim> readClaims(const Json& value, const TaskRange& range) {
     std::vector<Claim> claims;
     for (const auto& entry : listOf(value, "claims")) {
         if (!entry.is_array() || entry.size() != 3) continue;
         Claim claim;
-        claim.task = slice.first + entry[0].get<std::uint32_t>();
+        claim.task = range.first + entry[0].get<std::uint32_t>();
         claim.machine = entry[1].get<std::string>();
         claim.attempt = entry[2].get<std::uint64_t>();
         claims.push_back(std::move(claim));
     }
-    ledger.replaceSlice(*job, slice, static_cast<std::uint32_t>(countOf(value, "part")),
-                        std::move(done), std::move(claims));
+    return claims;
+}
+
+// The tasks that a slice's record covers: those that its index gives, unless it names them.
+std::optional<TaskRange> readRange(const Job& job, std::uint32_t index, const Json& value) {
+    if (!value.contains(rangeCount)) return job.undividedRange(index);
+    const auto first = countOf(value, rangeFirst);
+    const auto count = countOf(value, rangeCount);
+    if (count == 0 || first >= job.spec.tasks || count > job.spec.tasks - first)
+        return std::nullopt;
+    return TaskRange{static_cast<std::uint32_t>(first), static_cast<std::uint32_t>(count)};
+}
+
+void applySlice(Ledger& ledger, const std::string& name, const protocol::Event& event) {
+    const auto slash = name.rfind('/');
+    if (slash == std::string::npos || !event.value) return;
+    Job* job = ledger.job(name.substr(0, slash));
+    const auto index = toNumber(std::string_view(name).substr(slash + 1));
+    // Each division leaves at least one task to each piece.
+    if (job == nullptr || !index || *index >= std::uint64_t{job->spec.tasks} * 2) return;
+    const Json& value = *event.value;
+    const auto range = readRange(*job, *index, value);
+    if (!range) return;
+    Slice& slice = job->sliceAt(*index);
+    if (slice.version >= event.version) return;
+    ledger.replaceSlice(
+        *job, slice,
+        {static_cast<std::uint32_t>(countOf(value, "part")), *range, value.contains(rangeCount),
+         readDone(value, range->count), readClaims(value, *range)});
     slice.version = event.version;
 }
 
@@ -170,6 +196,9 @@
 std::string share(const std::string& team) {
     return shareKey + team;
 }
+std::string upgraded(const std::string& node) {
+    return upgradedKey + node;
+}
 std::string final(const std::string& id) {
     return "final/" + id;
 }
@@ -197,7 +226,12 @@
     Json claims = Json::array();
     for (const auto& claim : slice.claims)
         claims.push_back({claim.task - slice.first, claim.machine, claim.attempt});
-    return {{"part", slice.part}, {"done", std::move(done)}, {"claims", std::move(claims)}};
+    Json value{{"part", slice.part}, {"done", std::move(done)}, {"claims", std::move(claims)}};
+    if (slice.divided) {
+        value[rangeFirst] = slice.first;
+        value[rangeCount] = slice.size();
+    }
+    return value;
 }
 
 Json machineValue(const Machine& machine) {
@@ -221,6 +255,10 @@
     return {{"shares", std::move(list)}};
 }
 
+Json upgradedValue() {
+    return {{"formats", 1}};
+}
+
 Json catalogValue(const std::vector<protocol::MachineType>& types) {
     return protocol::encodeCatalog(types);
 }
@@ -276,6 +314,8 @@
             ledger.nodes.erase(known);
     } else if (const auto team = after(event.key, shareKey)) {
         applyShare(ledger, *team, event);
+    } else if (const auto upgraded = after(event.key, upgradedKey)) {
+        if (event.value) ledger.upgradedNodes.insert(*upgraded);
     }
 }
 
--- a/src/bookkeeping/records.h
+++ b/src/bookkeeping/records.h
@@ -23,6 +23,8 @@
 std::string part(std::uint32_t part);
 std::string node(const std::string& name);
 std::string share(const std::string& team);
+// Says, for ever, that a node has run a version that knows the formats added since the first one.
+std::string upgraded(const std::string& node);
 std::string final(const std::string& id);
 }  // namespace keys
 
@@ -31,6 +33,7 @@
 Json machineValue(const Machine& machine);
 Json partValue(const Part& part);
 Json shareValue(const std::map<std::uint32_t, TeamShare>& shares);
+Json upgradedValue();
 Json catalogValue(const std::vector<protocol::MachineType>& types);
 Json finalValue(bool cancelled);
 bool finalIsCancelled(const Json& value);
--- a/src/coordination/committer.cpp
+++ b/src/coordination/committer.cpp
@@ -17,7 +17,7 @@
 void Committer::commit(std::uint32_t part, protocol::Transaction transaction, Done done) {
     for (const auto& change : transaction.changes) keys_.insert(change.key);
     auto& queue = queues_[part];
-    queue.push_back({std::move(transaction), std::move(done), false, false, nextId_++});
+    queue.push_back({std::move(transaction), std::move(done), false, false, false, nextId_++});
     if (queue.size() == 1) send(part);
 }
 
@@ -57,6 +57,11 @@
             switch (answer.result) {
                 case protocol::StateResult::ok:
                     return settle(part, CommitResult::done, answer.revision);
+                case protocol::StateResult::rejected:
+                    // Sent again it would stop the part's queue for ever. An earlier try may have
+                    // been carried out before the limits changed: the records tell.
+                    queue->second.front().rejected = true;
+                    return readBack(part);
                 case protocol::StateResult::refused:
                     return readBack(part);
                 case protocol::StateResult::unknown:
@@ -165,7 +170,11 @@
         for (const auto& [key, asOf] : missing)
             bookkeeping::applyEvent(*ledger, {key, std::nullopt, asOf}, context_.now());
     }
-    settle(part, partLost ? CommitResult::partLost : CommitResult::conflict, 0);
+    settle(part,
+           partLost        ? CommitResult::partLost
+           : work.rejected ? CommitResult::rejected
+                           : CommitResult::conflict,
+           0);
 }
 
 }  // namespace fawnwheel::coordination
--- a/src/coordination/committer.h
+++ b/src/coordination/committer.h
@@ -11,7 +11,12 @@
 
 namespace fawnwheel::coordination {
 
-enum class CommitResult { done, conflict, partLost };
+enum class CommitResult {
+    done,
+    conflict,  // another writer came first; the ledger has been refreshed
+    rejected,  // too large for the state service; the ledger has been refreshed
+    partLost,
+};
 
 class Committer {
   public:
@@ -34,6 +39,7 @@
         Done done;
         bool sent = false;     // at least once without a definite answer
         bool sending = false;  // its answer is awaited
+        bool rejected = false;
         std::uint64_t id = 0;
     };
 
--- a/src/coordination/context.h
+++ b/src/coordination/context.h
@@ -61,6 +61,13 @@
             if (t.name == name) return &t;
         return nullptr;
     }
+    // Whether records and frames may have the formats that the first version doesn't know: no node
+    // runs that version any more, nor ever will.
+    [[nodiscard]] bool upgradeComplete(const Ledger& held) const {
+        return std::all_of(nodes.begin(), nodes.end(), [&held](const std::string& node) {
+            return held.upgradedNodes.contains(node);
+        });
+    }
     // The part that a machine belongs to while no record says otherwise; every node agrees on it.
     // A part has machines of few zones, so that a gang finds its places together and a cut between
     // zones parts few of them from their owner: the nodes stand in the order of their zones, and
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -30,7 +30,7 @@
       fleet_(context_, membership_, committer_, placement_, reports_),
       loans_(context_, membership_, committer_, placement_, reports_),
       shares_(context_, membership_, committer_, placement_),
-      moves_(context_, membership_, committer_, placement_),
+      moves_(context_, membership_, committer_, recorder_, placement_),
       intake_(context_, membership_, moves_) {
     mirror_.inFlight = [this](const std::string& key) { return committer_.inFlight(key); };
     mirror_.onChange = [this] {
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -250,7 +250,7 @@
     recording_.settled = [this](Machine& machine, CommitResult result, std::uint64_t revision) {
         if (result == CommitResult::done)
             machine.version = std::max(machine.version, revision);
-        else if (machine.version == 0 && result == CommitResult::conflict)
+        else if (machine.version == 0 && result != CommitResult::partLost)
             // Another of the batch has a record; this one is tried again.
             write(recording_, machine.part, machine.id);
     };
--- a/src/coordination/loans.cpp
+++ b/src/coordination/loans.cpp
@@ -12,8 +12,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto unusedLoan = 5s;   // then it goes back
-constexpr auto keptForPeer = 4s;  // a busy machine, until the next ask
+constexpr auto unusedLoan = 5s;         // then it goes back
+constexpr auto keptForPeer = 4s;        // a busy machine, until the next ask
+constexpr auto loanPatience = 20s;      // for a gang that others go before
+constexpr auto pauseAfterReturn = 15s;  // long enough for those others to be pushed to the lender
 
 }  // namespace
 
@@ -24,7 +26,7 @@
         if (!entry.gang || entry.waitsTurn || entry.lacking == 0) continue;
         const Job* job = ledger->job(entry.job);
         if (job == nullptr || job->part != part) continue;
-        if (!asking_.due(entry.job, context_.now())) continue;
+        if (restUntil_.contains(entry.job) || !asking_.due(entry.job, context_.now())) continue;
         struct Lender {
             std::uint32_t idle = 0;
             std::uint32_t busy = 0;  // of use to it once they are free
@@ -174,19 +176,43 @@
                       });
 }
 
+bool Loans::keepsOthersWaiting(Ledger& ledger, const Machine& machine) const {
+    // A gang that can't get the rest of its machines once kept a borrowed one idle for minutes,
+    // while work that goes before it waited and may not use a loan (slice_left_behind).
+    const Job* gang = ledger.job(machine.reservedFor);
+    const auto* type = context_.type(machine.type);
+    if (gang == nullptr || type == nullptr || context_.now() - machine.known < loanPatience)
+        return false;
+    return std::any_of(ledger.jobs.begin(), ledger.jobs.end(), [&](const auto& entry) {
+        const Job& job = entry.second;
+        return job.spec.kind != protocol::JobKind::gang && !job.cancelled && !job.finishing &&
+               std::any_of(job.slices.begin(), job.slices.end(),
+                           [&](const Slice& slice) {
+                               return slice.part == machine.part && slice.waiting() > 0;
+                           }) &&
+               Placement::typeAllowed(job.spec, *type, machine.zone, machine.spot) &&
+               placement_.before(job, *gang);
+    });
+}
+
 void Loans::review(std::uint32_t part) {
     const auto now = context_.now();
+    std::erase_if(restUntil_, [now](const auto& entry) { return entry.second <= now; });
     std::map<std::uint32_t, std::vector<std::string>> back;
     {
         auto ledger = context_.ledger.lock();
         for (auto* machine : ledger->machinesOf(part)) {
             if (!machine->lender || machine->lending || machine->retired) continue;
-            if (!machine->claims.empty() || now < machine->reservedUntil) {
+            const bool kept = now < machine->reservedUntil;
+            const bool inTheWay =
+                kept && machine->claims.empty() && keepsOthersWaiting(*ledger, *machine);
+            if (inTheWay) restUntil_[machine->reservedFor] = now + pauseAfterReturn;
+            if (!machine->claims.empty() || (kept && !inTheWay)) {
                 machine->idleSince = now;
                 continue;
             }
             auto& names = back[*machine->lender];
-            if (now - machine->idleSince > unusedLoan &&
+            if ((inTheWay || now - machine->idleSince > unusedLoan) &&
                 names.size() < context_.settings.transactionChanges)
                 names.push_back(machine->id);
         }
--- a/src/coordination/loans.h
+++ b/src/coordination/loans.h
@@ -31,13 +31,16 @@
     void transfer(std::uint32_t from, std::uint32_t to, const std::vector<std::string>& machines);
     // Whether work of this part comes before the gang and could use the machine.
     [[nodiscard]] bool neededHere(Ledger& ledger, const Machine& machine, const Job& gang) const;
+    // Whether an idle loan is kept for a gang while the borrower's work that goes before it waits.
+    [[nodiscard]] bool keepsOthersWaiting(Ledger& ledger, const Machine& machine) const;
 
     Context& context_;
     Membership& membership_;
     Committer& committer_;
     Placement& placement_;
     Reports& reports_;
-    Asking asking_;  // by gang
+    Asking asking_;                                // by gang
+    std::map<std::string, SteadyTime> restUntil_;  // gangs that ask for no loan before
 };
 
 }  // namespace fawnwheel::coordination
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -213,6 +213,10 @@
                 {bookkeeping::keys::part(part), ledger->parts[part].version});
         transaction.changes.push_back(
             {bookkeeping::keys::node(name), protocol::Json{{"term", ledger->lastTerm}}, hold});
+        // Tied to no lease and never lowered: however late this is carried out, it says the truth.
+        if (!ledger->upgradedNodes.contains(name))
+            transaction.changes.push_back(
+                {bookkeeping::keys::upgraded(name), bookkeeping::upgradedValue(), 0});
     }
     context_.state.transact(
         std::move(transaction), protocol::Urgency::lease,
@@ -300,7 +304,14 @@
     return context_.ledger.lock()->parts[part].term;
 }
 
+void Membership::noteUpgrade() {
+    if (upgradeLogged_ || !synced() || !context_.upgradeComplete(*context_.ledger.lock())) return;
+    upgradeLogged_ = true;
+    spdlog::info("membership: all nodes have run this version, its formats are in use");
+}
+
 void Membership::review() {
+    noteUpgrade();
     for (std::uint32_t part = 0; part < context_.partCount(); ++part) {
         if (!settled(part) || announced_[part] == taken_[part]) continue;
         announced_[part] = taken_[part];
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -84,6 +84,7 @@
     void refreshNodeVersion(std::uint64_t hold, SteadyTime sent);
     void renew();
     void rejoinLater();
+    void noteUpgrade();
     void take(std::uint32_t part);
     void handBack(std::uint32_t part);
     // The part is ours and the ledger holds all that preceded the taking.
@@ -95,6 +96,7 @@
     std::uint64_t spread_ = 0;                      // position in the log of cancellations
     std::uint64_t hold_ = 0;
     bool joined_ = false;
+    bool upgradeLogged_ = false;
     SteadyTime leaseUntil_{};
     std::map<std::uint32_t, std::uint64_t> taken_;  // part -> term, by this process
     std::map<std::uint32_t, std::uint64_t> announced_;
--- a/src/coordination/moves.cpp
+++ b/src/coordination/moves.cpp
@@ -15,6 +15,9 @@
 constexpr auto answerTimeout = 800ms;
 constexpr auto promiseLasts = 3s;
 constexpr std::size_t maxOffers = 16;
+// What found no place here for so long counts as above high, however short the queue is: the
+// average of one waiting task stays below any threshold (slice_left_behind).
+constexpr auto longWait = 30s;
 // The thresholds' upper bounds come from the settings; a part that runs few tasks at a time is
 // congested by a shorter queue.
 constexpr double lowShareOfRunning = 0.1;
@@ -80,14 +83,15 @@
     {
         auto ledger = context_.ledger.lock();
         for (const auto& [id, job] : ledger->jobs)
-            if (!job.cancelled && !job.finishing &&
-                std::any_of(job.slices.begin(), job.slices.end(), [part](const Slice& s) {
-                    return s.part == part && s.untouched() && !s.leaving;
-                }))
-                waiting.push_back(id);
+            if (!job.cancelled && !job.finishing && movable(job, part)) waiting.push_back(id);
     }
+    auto& since = waitingSince_[part];
+    std::erase_if(since, [&waiting](const auto& entry) {
+        return !std::binary_search(waiting.begin(), waiting.end(), entry.first);
+    });
+    const auto now = context_.now();
     for (const auto& id : waiting) {
-        bool stranded = false;
+        bool stranded = now - since.try_emplace(id, now).first->second > longWait;
         bool atRisk = false;
         double free = 0;
         {
@@ -96,7 +100,7 @@
             if (job == nullptr) continue;
             // Work that no machine here could ever run counts as above high, and so does what
             // will miss its aim unless it starts about now: the average lags behind it.
-            stranded = !placement_.everFits(*job, part);
+            stranded = stranded || !placement_.everFits(*job, part);
             free = freedom(*job, part);
             // Elsewhere its image may have to be fetched: what has it here waits here for as long
             // as that would take.
@@ -110,6 +114,25 @@
     }
 }
 
+bookkeeping::TaskRange Moves::movableRange(const Slice& slice) {
+    if (slice.leaving) return {};
+    if (slice.untouched()) return slice.dirty ? bookkeeping::TaskRange{} : slice.range();
+    // The rest of a slice that has begun becomes a slice of its own. It once never moved, and
+    // waited beside idle machines of other parts (slice_left_behind).
+    if (!context_.upgradeComplete(*context_.ledger.lock())) return {};
+    return slice.lastUnstarted();
+}
+
+bool Moves::movable(const Job& job, std::uint32_t part) {
+    if (job.undivided())
+        return std::any_of(job.slices.begin(), job.slices.end(), [part](const Slice& slice) {
+            return slice.part == part && slice.untouched() && !slice.leaving;
+        });
+    return std::any_of(job.slices.begin(), job.slices.end(), [&](const Slice& slice) {
+        return slice.part == part && movableRange(slice).count > 0;
+    });
+}
+
 void Moves::consider(std::uint32_t part, const std::string& id, bool always) {
     auto ledger = context_.ledger.lock();
     Job* job = ledger->job(id);
@@ -117,34 +140,42 @@
     const bool allHere = std::all_of(job->slices.begin(), job->slices.end(), [&](const Slice& s) {
         return s.part == part && s.untouched() && s.version == 0 && !s.leaving;
     });
-    if (job->undivided() || job->slices.size() == 1) {
+    if (job->undivided() || (job->slices.size() == 1 && allHere)) {
         if (allHere && job->part == part) offer(part, *job, job->slices.front(), true);
         return;
     }
-    for (auto& slice : job->slices) {
-        if (slice.part != part || !slice.untouched() || slice.leaving || slice.dirty) continue;
+    for (const auto& slice : job->slices) {
+        if (slice.part != part || movableRange(slice).count == 0) continue;
         offer(part, *job, slice, false);
         if (!always) return;
     }
 }
 
-void Moves::offer(std::uint32_t part, Job& job, Slice& slice, bool wholeJob) {
+void Moves::offer(std::uint32_t part, Job& job, const Slice& slice, bool wholeJob) {
     if (offers_.size() >= maxOffers) return;
     Offer next;
     next.part = part;
     next.job = job.spec.id;
     next.slice = slice.index;
     next.wholeJob = wholeJob;
-    next.tasks = wholeJob ? job.spec.tasks : static_cast<std::uint32_t>(slice.done.size());
+    next.range = wholeJob ? slice.range() : movableRange(slice);
+    next.tasks = wholeJob ? job.spec.tasks : next.range.count;
     std::vector<std::pair<double, std::uint32_t>> order;  // part, by room, with the image first
+    std::uint32_t mostRoom = 0;
     {
         auto ledger = context_.ledger.lock();
         for (std::uint32_t other = 0; other < context_.partCount(); ++other) {
             if (other == part || !ledger->nodes.contains(ledger->parts[other].owner)) continue;
             const auto room = placement_.roomFor(job, other, next.tasks);
+            mostRoom = std::max(mostRoom, room);
             if (room > 0)
                 order.emplace_back(room * (1 + ledger->cachedShare(job.spec, other)), other);
         }
+        if (!wholeJob && context_.upgradeComplete(*ledger) && mostRoom < next.range.count) {
+            // The last tasks only, as many as a peer has room for.
+            next.range = {next.range.end() - mostRoom, mostRoom};
+            next.tasks = mostRoom;
+        }
     }
     std::sort(order.rbegin(), order.rend());
     for (const auto& [room, other] : order) next.peersLeft.push_back(other);
@@ -159,8 +190,11 @@
     auto ledger = context_.ledger.lock();
     Job* job = ledger->job(offer.job);
     if (job == nullptr) return;
-    for (auto& slice : job->slices)
-        if (offer.wholeJob || slice.index == offer.slice) slice.leaving = leaving;
+    for (auto& slice : job->slices) {
+        if (!offer.wholeJob && slice.index != offer.slice) continue;
+        slice.leaving.reset();
+        if (leaving) slice.leaving = offer.wholeJob ? slice.range() : offer.range;
+    }
 }
 
 void Moves::askNext(std::uint64_t ask) {
@@ -228,59 +262,60 @@
 }
 
 void Moves::push(std::uint64_t ask) {
-    Offer& offer = offers_[ask];
-    const auto target = offer.asked;
-    offer.asked = context_.partCount();  // no longer asking
+    auto& found = offers_[ask];
+    const auto target = found.asked;
+    found.asked = context_.partCount();  // no longer asking
+    const Offer offer = found;
+    if (!membership_.active(offer.part)) return finishPush(ask, target, false);
+    if (offer.wholeJob)
+        pushJob(ask, offer, target);
+    else
+        pushTasks(ask, offer, target);
+}
+
+void Moves::pushJob(std::uint64_t ask, const Offer& offer, std::uint32_t target) {
     protocol::Transaction transaction;
     {
         auto ledger = context_.ledger.lock();
-        Job* job = ledger->job(offer.job);
-        if (job == nullptr || job->cancelled || !membership_.active(offer.part)) {
-            setLeaving(offer, false);
-            offers_.erase(ask);
-            return;
-        }
-        transaction.conditions.push_back({bookkeeping::keys::job(offer.job), job->version});
-        if (offer.wholeJob) {
-            Job next = *job;
-            next.part = target;
-            transaction.changes.push_back(
-                {bookkeeping::keys::job(offer.job), bookkeeping::jobValue(next), 0});
-        } else {
-            Slice next = job->slices[offer.slice];
-            next.part = target;
-            const auto key = bookkeeping::keys::slice(offer.job, offer.slice);
-            transaction.conditions.push_back({key, next.version});
-            transaction.changes.push_back({key, bookkeeping::sliceValue(next), 0});
-        }
+        const Job* job = ledger->job(offer.job);
+        if (job == nullptr || job->cancelled) return finishPush(ask, target, false);
+        const auto key = bookkeeping::keys::job(offer.job);
+        Job next = *job;
+        next.part = target;
+        transaction.conditions.push_back({key, job->version});
+        transaction.changes.push_back({key, bookkeeping::jobValue(next), 0});
     }
-    committer_.commit(offer.part, std::move(transaction),
-                      [this, ask, target](CommitResult result, std::uint64_t revision) {
-                          const auto found = offers_.find(ask);
-                          if (found == offers_.end()) return;
-                          const Offer made = found->second;
-                          offers_.erase(found);
-                          setLeaving(made, false);
-                          if (result != CommitResult::done) return;
-                          queues_[made.part].moved();
-                          spdlog::info("move: {} of job {}, {} tasks, part {} to {}",
-                                       made.wholeJob ? "all" : "a slice", made.job, made.tasks,
-                                       made.part, target);
-                          auto ledger = context_.ledger.lock();
-                          Job* job = ledger->job(made.job);
-                          if (job == nullptr) return;
-                          if (made.wholeJob) {
-                              job->part = target;
-                              job->version = std::max(job->version, revision);
-                              for (auto& slice : job->slices)
-                                  if (slice.version == 0) slice.part = target;
-                          } else {
-                              job->slices[made.slice].part = target;
-                              job->slices[made.slice].version =
-                                  std::max(job->slices[made.slice].version, revision);
-                              job->slices[made.slice].dirty = false;
-                          }
-                      });
+    committer_.commit(
+        offer.part, std::move(transaction),
+        [this, ask, target, id = offer.job](CommitResult result, std::uint64_t revision) {
+            auto ledger = context_.ledger.lock();
+            Job* job = ledger->job(id);
+            if (result == CommitResult::done && job != nullptr) {
+                job->part = target;
+                job->version = std::max(job->version, revision);
+                for (auto& slice : job->slices)
+                    if (slice.version == 0) slice.part = target;
+            }
+            finishPush(ask, target, result == CommitResult::done);
+        });
+}
+
+void Moves::pushTasks(std::uint64_t ask, const Offer& offer, std::uint32_t target) {
+    recorder_.push(offer.part,
+                   {offer.job, offer.slice, offer.range, target, context_.now() + promiseLasts,
+                    [this, ask, target](bool pushed) { finishPush(ask, target, pushed); }});
+}
+
+void Moves::finishPush(std::uint64_t ask, std::uint32_t target, bool pushed) {
+    const auto found = offers_.find(ask);
+    if (found == offers_.end()) return;
+    const Offer made = found->second;
+    offers_.erase(found);
+    setLeaving(made, false);
+    if (!pushed) return;
+    queues_[made.part].moved();
+    spdlog::info("move: {} of job {}, {} tasks, part {} to {}", made.wholeJob ? "all" : "a slice",
+                 made.job, made.tasks, made.part, target);
 }
 
 std::uint32_t Moves::mapJob(const Job& job) {
--- a/src/coordination/moves.h
+++ b/src/coordination/moves.h
@@ -5,6 +5,7 @@
 
 #include "coordination/committer.h"
 #include "coordination/placement.h"
+#include "coordination/recorder.h"
 #include "protocol/peer_codec.h"
 
 namespace fawnwheel::coordination {
@@ -34,10 +35,12 @@
 
 class Moves {
   public:
-    Moves(Context& context, Membership& membership, Committer& committer, Placement& placement)
+    Moves(Context& context, Membership& membership, Committer& committer, Recorder& recorder,
+          Placement& placement)
         : context_(context),
           membership_(membership),
           committer_(committer),
+          recorder_(recorder),
           placement_(placement) {}
 
     void start();
@@ -52,6 +55,7 @@
         std::string job;
         std::uint32_t slice = 0;
         bool wholeJob = false;
+        bookkeeping::TaskRange range;  // of the slice
         std::uint32_t tasks = 0;
         std::vector<std::uint32_t> peersLeft;  // parts to ask, in turn
         std::uint32_t asked = 0;               // part
@@ -65,9 +69,16 @@
     void sampleAll();
     void samplePart(std::uint32_t part);
     void consider(std::uint32_t part, const std::string& id, bool always);
-    void offer(std::uint32_t part, Job& job, Slice& slice, bool wholeJob);
+    // Whether some of the job's tasks here could be pushed.
+    [[nodiscard]] bool movable(const Job& job, std::uint32_t part);
+    // The tasks of a slice that may be pushed together; none: an empty range.
+    [[nodiscard]] bookkeeping::TaskRange movableRange(const Slice& slice);
+    void offer(std::uint32_t part, Job& job, const Slice& slice, bool wholeJob);
     void askNext(std::uint64_t ask);
     void push(std::uint64_t ask);
+    void pushJob(std::uint64_t ask, const Offer& offer, std::uint32_t target);
+    void pushTasks(std::uint64_t ask, const Offer& offer, std::uint32_t target);
+    void finishPush(std::uint64_t ask, std::uint32_t target, bool pushed);
     void setLeaving(const Offer& offer, bool leaving);
     [[nodiscard]] QueueWatch::Tuning tuningFor(std::uint32_t part);
     [[nodiscard]] double freedom(const Job& job, std::uint32_t part);
@@ -76,8 +87,11 @@
     Context& context_;
     Membership& membership_;
     Committer& committer_;
+    Recorder& recorder_;
     Placement& placement_;
     std::map<std::uint32_t, QueueWatch> queues_;
+    // By part and job: since when some of its tasks have waited to be placed.
+    std::map<std::uint32_t, std::map<std::string, SteadyTime>> waitingSince_;
     std::map<std::uint64_t, Offer> offers_;
     std::vector<Promise> promises_;
     std::uint64_t nextAsk_ = 1;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -154,11 +154,6 @@
            std::tuple(other.spec.priority, latestStart(other), other.spec.id);
 }
 
-std::uint32_t Placement::waitingIn(const Slice& slice) {
-    return static_cast<std::uint32_t>(slice.done.size()) - slice.doneCount -
-           static_cast<std::uint32_t>(slice.claims.size());
-}
-
 std::vector<Placement::Ready> Placement::readyJobs(Ledger& ledger, std::uint32_t part) {
     std::vector<Ready> ready;
     const auto now = context_.now();
@@ -175,7 +170,7 @@
         }
         std::uint32_t tasks = 0;
         for (const auto& slice : job.slices)
-            if (slice.part == part && !slice.leaving) tasks += waitingIn(slice);
+            if (slice.part == part) tasks += slice.waiting();
         if (tasks > 0) ready.push_back({&job, tasks, latestStart(job)});
     }
     std::sort(ready.begin(), ready.end(), [](const Ready& a, const Ready& b) {
@@ -205,8 +200,7 @@
             (job.spec.kind == JobKind::gang && job.anyClaim()))
             continue;
         for (const auto& slice : job.slices)
-            if (slice.part < lengths.size() && !slice.leaving)
-                lengths[slice.part] += waitingIn(slice);
+            if (slice.part < lengths.size()) lengths[slice.part] += slice.waiting();
     }
     return lengths;
 }
@@ -252,12 +246,10 @@
     Placed placed;
     std::optional<std::uint32_t> mayWait;  // worked out when the first would have to fetch
     for (auto& slice : job.slices) {
-        if (slice.part != part || slice.leaving ||
-            slice.doneCount + slice.claims.size() >= slice.done.size())
-            continue;
+        if (slice.part != part || slice.waiting() == 0) continue;
         for (std::uint32_t i = 0; i < slice.done.size(); ++i) {
             const auto task = slice.first + i;
-            if (slice.done[i] || slice.claimOf(task) != nullptr) continue;
+            if (!slice.unstarted(task) || slice.isLeaving(task)) continue;
             if (placed.tasks >= placementsPerRun) return placed;
             if (!job.spec.each.fits(left)) {
                 overShare = true;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -103,7 +103,6 @@
 
     // Of the gangs of its class seen so far.
     [[nodiscard]] bool isLargest(const Job& job) const;
-    [[nodiscard]] static std::uint32_t waitingIn(const Slice& slice);
     std::vector<Ready> readyJobs(Ledger& ledger, std::uint32_t part);
     // How many of a job's tasks do better to wait for machines that have its image.
     [[nodiscard]] std::uint32_t worthWaiting(const Openings& openings, const Job& job) const;
--- a/src/coordination/recorder.cpp
+++ b/src/coordination/recorder.cpp
@@ -2,27 +2,51 @@
 
 #include <spdlog/spdlog.h>
 
+#include <numeric>
+
 #include "bookkeeping/records.h"
 
 namespace fawnwheel::coordination {
 
 namespace {
 
+using namespace std::chrono_literals;
+
 constexpr std::size_t maxBytes = std::size_t{40} * 1024;  // of the 64 KiB a transaction may have
 constexpr std::size_t bytesPerClaim = 56;
 constexpr std::size_t bytesPerChange = 160;
+constexpr std::size_t leastChanges = 2;  // the end of a job drops one record and writes another
+constexpr std::size_t leastValueBytes = 512;
+constexpr auto pauseAfterRejection = 500ms;
+
+bool allUnstarted(const Slice& slice, const bookkeeping::TaskRange& range) {
+    for (auto task = range.first; task < range.end(); ++task)
+        if (!slice.unstarted(task)) return false;
+    return range.count > 0;
+}
+
+// Where the slice has to be cut so that the range becomes a piece of its own.
+std::vector<std::uint32_t> cutsAround(const Slice& slice, const bookkeeping::TaskRange& range) {
+    std::vector<std::uint32_t> cuts;
+    if (range.first > slice.first) cuts.push_back(range.first);
+    if (range.end() < slice.range().end()) cuts.push_back(range.end());
+    return cuts;
+}
 
 }  // namespace
 
 bool Recorder::full(const Batch& batch) const {
-    return batch.transaction.changes.size() >= context_.settings.transactionChanges ||
-           batch.bytes >= maxBytes;
+    return batch.transaction.changes.size() >= mostChanges_ || batch.bytes >= maxBytes;
+}
+
+void Recorder::push(std::uint32_t part, SlicePush push) {
+    pushes_[part].push_back(std::move(push));
+    flush(part);
 }
 
 void Recorder::addFinal(Batch& batch, Job& job) {
     auto& changes = batch.transaction.changes;
-    const auto most = context_.settings.transactionChanges;
-    if (changes.size() + 2 > most) return;
+    if (changes.size() + 2 > mostChanges_) return;
     batch.transaction.conditions.push_back({bookkeeping::keys::job(job.spec.id), job.version});
     changes.push_back({bookkeeping::keys::job(job.spec.id), std::nullopt, 0});
     changes.push_back(
@@ -30,48 +54,114 @@
     for (const auto& slice : job.slices) {
         if (slice.version == 0) continue;
         const auto key = bookkeeping::keys::slice(job.spec.id, slice.index);
-        if (changes.size() < most)
+        if (changes.size() < mostChanges_)
             changes.push_back({key, std::nullopt, 0});
         else
             leftovers_.push_back(key);
     }
     batch.bytes += bytesPerChange * 2;
-    batch.finals.emplace_back(job.spec.id, job.cancelled);
+    batch.finals.push_back({job.spec.id, job.cancelled});
     job.finishing = true;
 }
 
-void Recorder::addSlice(Batch& batch, Job& job, Slice& slice) {
+std::vector<std::uint32_t> Recorder::cutsToFit(const Slice& slice) const {
+    std::vector<std::uint32_t> cuts;
+    // Halved as often as need be. Most are so small that they need not be written out to see it.
+    std::vector<bookkeeping::TaskRange> open{slice.range()};
+    while (!open.empty()) {
+        const auto range = open.back();
+        open.pop_back();
+        if (range.count * bytesPerClaim + bytesPerChange < mostValueBytes_ || range.count < 2)
+            continue;
+        const auto pieces = bookkeeping::cutSlice(slice, cutsAround(slice, range), 0);
+        const auto& piece = range.first == slice.first ? pieces.front() : pieces[1];
+        if (bookkeeping::sliceValue(piece).dump().size() <= mostValueBytes_) continue;
+        const auto half = range.count / 2;
+        cuts.push_back(range.first + half);
+        open.push_back({range.first, half});
+        open.push_back({range.first + half, range.count - half});
+    }
+    std::sort(cuts.begin(), cuts.end());
+    return cuts;
+}
+
+bool Recorder::addSlice(Batch& batch, Job& job, const Slice& slice, std::optional<SlicePush> push) {
+    auto& [conditions, changes] = batch.transaction;
+    WrittenSlice written{job.spec.id, slice.index, slice.version, {}, 0, std::move(push), {}};
+    if (written.push)
+        written.cuts = cutsAround(slice, written.push->range);
+    else if (context_.upgradeComplete(*context_.ledger.lock()))
+        // Recorded while values could be larger, by the version before (limits_lowered).
+        written.cuts = cutsToFit(slice);
+    const auto pieces =
+        bookkeeping::cutSlice(slice, written.cuts, static_cast<std::uint32_t>(job.slices.size()));
+    if (changes.size() + pieces.size() > mostChanges_ && !changes.empty()) return false;
+    written.nextIndex = static_cast<std::uint32_t>(job.slices.size());
     // The job's version fails a claim made while a user cancels the job.
     if (batch.jobs.insert(job.spec.id).second)
-        batch.transaction.conditions.push_back({bookkeeping::keys::job(job.spec.id), job.version});
-    const auto key = bookkeeping::keys::slice(job.spec.id, slice.index);
-    batch.transaction.conditions.push_back({key, slice.version});
-    batch.transaction.changes.push_back({key, bookkeeping::sliceValue(slice), 0});
-    batch.bytes += bytesPerChange + bytesPerClaim * slice.claims.size();
-    batch.slices.push_back({job.spec.id, slice.index, slice.version});
+        conditions.push_back({bookkeeping::keys::job(job.spec.id), job.version});
+    for (auto piece : pieces) {
+        if (written.push && piece.range() == written.push->range) piece.part = written.push->target;
+        const auto key = bookkeeping::keys::slice(job.spec.id, piece.index);
+        conditions.push_back({key, piece.version});
+        written.changes.push_back({key, bookkeeping::sliceValue(piece), 0});
+        changes.push_back(written.changes.back());
+    }
+    batch.bytes += bytesPerChange * pieces.size() + bytesPerClaim * slice.claims.size();
+    batch.slices.push_back(std::move(written));
+    return true;
+}
+
+void Recorder::addPushes(Batch& batch, Ledger& ledger, std::uint32_t part) {
+    auto& waiting = pushes_[part];
+    while (!waiting.empty() && !full(batch)) {
+        const auto& next = waiting.front();
+        Job* job = ledger.job(next.job);
+        const bool possible = context_.now() < next.until && job != nullptr &&
+                              !ledger.calledOff(*job) && !job->finishing &&
+                              next.slice < job->slices.size() &&
+                              job->slices[next.slice].part == part &&
+                              allUnstarted(job->slices[next.slice], next.range) &&
+                              // Two divisions of one job would claim the same new indexes.
+                              !batch.jobs.contains(next.job);
+        if (!possible) {
+            next.done(false);
+        } else if (!addSlice(batch, *job, job->slices[next.slice], next)) {
+            return;
+        }
+        waiting.pop_front();
+    }
+}
+
+void Recorder::addJobs(Batch& batch, Ledger& ledger, std::uint32_t part) {
+    for (auto& [id, job] : ledger.jobs) {
+        if (full(batch)) return;
+        if (job.finishing || batch.jobs.contains(id)) continue;
+        // A cancelled job ends when the last of its tasks is proved gone. Claims by other
+        // parts are known up to `applied`; later ones fail on the job's version.
+        const bool over =
+            job.cancelled ? !job.anyClaim() && ledger.applied >= job.version : job.complete();
+        if (job.part == part && over) {
+            addFinal(batch, job);
+            continue;
+        }
+        for (const auto& slice : job.slices) {
+            if (full(batch)) return;
+            if (!slice.dirty || slice.part != part) continue;
+            if (!addSlice(batch, job, slice, std::nullopt)) return;
+            // What it adds has to be known before another is divided.
+            if (!batch.slices.back().cuts.empty()) break;
+        }
+    }
 }
 
 void Recorder::flush(std::uint32_t part) {
-    if (committer_.busy(part)) return;
+    if (committer_.busy(part) || context_.now() < pausedUntil_[part]) return;
     Batch batch;
     {
         auto ledger = context_.ledger.lock();
-        for (auto& [id, job] : ledger->jobs) {
-            if (full(batch)) break;
-            if (job.finishing) continue;
-            // A cancelled job ends when the last of its tasks is proved gone. Claims by other
-            // parts are known up to `applied`; later ones fail on the job's version.
-            const bool over =
-                job.cancelled ? !job.anyClaim() && ledger->applied >= job.version : job.complete();
-            if (job.part == part && over) {
-                addFinal(batch, job);
-                continue;
-            }
-            for (auto& slice : job.slices) {
-                if (full(batch)) break;
-                if (slice.dirty && slice.part == part) addSlice(batch, job, slice);
-            }
-        }
+        addPushes(batch, *ledger, part);
+        addJobs(batch, *ledger, part);
     }
     if (batch.transaction.changes.empty()) return sweepLeftovers(part);
     auto transaction = batch.transaction;
@@ -82,9 +172,64 @@
         });
 }
 
+void Recorder::finishSlice(Ledger& ledger, const WrittenSlice& written, std::uint64_t revision,
+                           std::set<std::string>& machines) {
+    Job& job = *ledger.job(written.job);
+    const Slice& slice = job.sliceAt(written.index);
+    if (slice.version != written.version) {
+        // Read anew while this was under way, perhaps as it stood before.
+        for (const auto& change : written.changes)
+            bookkeeping::applyEvent(ledger, {change.key, change.value, revision}, context_.now());
+        return;
+    }
+    auto pieces = bookkeeping::cutSlice(slice, written.cuts, written.nextIndex);
+    for (std::size_t i = 0; i < pieces.size(); ++i) {
+        Slice& piece = pieces[i];
+        const auto& value = *written.changes[i].value;
+        if (written.push && piece.range() == written.push->range)
+            piece.part = written.push->target;
+        else if (i == 0 && slice.leaving)
+            piece.leaving = slice.leaving;
+        piece.version = revision;
+        piece.dirty = value != bookkeeping::sliceValue(piece);
+        for (auto& claim : piece.claims) {
+            // Only what this transaction carried; a later claim waits for the next.
+            for (const auto& entry : value["claims"])
+                if (entry[2].get<std::uint64_t>() == claim.attempt &&
+                    entry[0].get<std::uint32_t>() + piece.first == claim.task)
+                    if (!std::exchange(claim.durable, true)) machines.insert(claim.machine);
+        }
+    }
+    ledger.divideSlice(job, written.index, pieces);
+}
+
+void Recorder::undoClaims(Ledger& ledger, const WrittenSlice& written, std::uint32_t part,
+                          CommitResult result) {
+    // What did not become durable was never sent: forget it and decide anew.
+    Job& job = *ledger.job(written.job);
+    Slice& slice = job.sliceAt(written.index);
+    std::vector<std::uint32_t> undone;
+    for (const auto& claim : slice.claims)
+        if (!claim.durable) undone.push_back(claim.task);
+    for (const auto task : undone) ledger.removeClaim(job, slice, task);
+    if (!written.push) slice.dirty = result != CommitResult::partLost && slice.part == part;
+}
+
+void Recorder::noteRejected(std::uint32_t part, const Batch& batch) {
+    // Its limits are lower than announced. Divided further, what was refused is sent again.
+    pausedUntil_[part] = context_.now() + pauseAfterRejection;
+    if (batch.transaction.changes.size() > leastChanges)
+        mostChanges_ = std::max(leastChanges, batch.transaction.changes.size() / 2);
+    else
+        mostValueBytes_ = std::max(leastValueBytes, mostValueBytes_ / 2);
+    spdlog::warn("records: the state service rejects part {}'s changes, now at most {} of {} bytes",
+                 part, mostChanges_, mostValueBytes_);
+}
+
 void Recorder::finish(std::uint32_t part, const Batch& batch, CommitResult result,
                       std::uint64_t revision) {
     std::set<std::string> machines;
+    if (result == CommitResult::rejected) noteRejected(part, batch);
     {
         auto ledger = context_.ledger.lock();
         for (const auto& [id, cancelled] : batch.finals) {
@@ -94,40 +239,16 @@
             ledger->dropJob(id);
             onFinal(id, cancelled);
         }
-        for (const auto& [id, index, before] : batch.slices) {
-            Job* job = ledger->job(id);
-            if (job == nullptr) continue;
-            Slice& slice = job->slices[index];
-            if (result == CommitResult::done) {
-                const auto key = bookkeeping::keys::slice(id, index);
-                const auto written =
-                    std::find_if(batch.transaction.changes.begin(), batch.transaction.changes.end(),
-                                 [&](const auto& change) { return change.key == key; });
-                if (slice.version != before) {
-                    // Read anew while this was under way, perhaps as it stood before.
-                    bookkeeping::applyEvent(*ledger, {key, written->value, revision},
-                                            context_.now());
-                    continue;
-                }
-                slice.version = revision;
-                slice.dirty = *written->value != bookkeeping::sliceValue(slice);
-                for (auto& claim : slice.claims) {
-                    // Only what this transaction carried; a later claim waits for the next.
-                    for (const auto& entry : (*written->value)["claims"])
-                        if (entry[2].get<std::uint64_t>() == claim.attempt &&
-                            entry[0].get<std::uint32_t>() + slice.first == claim.task)
-                            if (!std::exchange(claim.durable, true)) machines.insert(claim.machine);
-                }
-            } else {
-                // What did not become durable was never sent: forget it and decide anew.
-                std::vector<std::uint32_t> undone;
-                for (const auto& claim : slice.claims)
-                    if (!claim.durable) undone.push_back(claim.task);
-                for (const auto task : undone) ledger->removeClaim(*job, slice, task);
-                slice.dirty = result == CommitResult::conflict && slice.part == part;
-            }
+        for (const auto& written : batch.slices) {
+            if (ledger->job(written.job) == nullptr) continue;
+            if (result == CommitResult::done)
+                finishSlice(*ledger, written, revision, machines);
+            else
+                undoClaims(*ledger, written, part, result);
         }
     }
+    for (const auto& written : batch.slices)
+        if (written.push) written.push->done(result == CommitResult::done);
     if (!machines.empty()) onDurable(machines);
     if (result == CommitResult::done) flush(part);
 }
@@ -135,8 +256,7 @@
 void Recorder::sweepLeftovers(std::uint32_t part) {
     if (leftovers_.empty()) return;
     protocol::Transaction transaction;
-    while (!leftovers_.empty() &&
-           transaction.changes.size() < context_.settings.transactionChanges) {
+    while (!leftovers_.empty() && transaction.changes.size() < mostChanges_) {
         transaction.changes.push_back({leftovers_.front(), std::nullopt, 0});
         leftovers_.pop_front();
     }
--- a/src/coordination/recorder.h
+++ b/src/coordination/recorder.h
@@ -5,12 +5,29 @@
 
 namespace fawnwheel::coordination {
 
+// Tasks of a part's slice, none of them started, that another part shall own.
+struct SlicePush {
+    std::string job;
+    std::uint32_t slice = 0;
+    bookkeeping::TaskRange range;
+    std::uint32_t target = 0;  // part
+    SteadyTime until{};        // the other part's word holds no longer
+    std::function<void(bool pushed)> done;
+};
+
 class Recorder {
   public:
-    Recorder(Context& context, Committer& committer) : context_(context), committer_(committer) {}
+    Recorder(Context& context, Committer& committer)
+        : context_(context),
+          committer_(committer),
+          mostChanges_(context.settings.transactionChanges),
+          mostValueBytes_(context.settings.valueBytes()) {}
 
     // Writes what has changed in this part, if nothing of it is under way already.
     void flush(std::uint32_t part);
+    // Gives the tasks to the other part with the next flush, in a slice of their own if they are
+    // not the whole slice. Refused if one of them has started by then.
+    void push(std::uint32_t part, SlicePush push);
 
     // A job has reached its end, durably.
     std::function<void(const std::string& job, bool cancelled)> onFinal = [](const std::string&,
@@ -20,29 +37,52 @@
         [](const std::set<std::string>&) {};
 
   private:
+    // A slice as it is written: in one record, or divided into several.
+    struct WrittenSlice {
+        std::string job;
+        std::uint32_t index = 0;
+        std::uint64_t version = 0;        // before
+        std::vector<std::uint32_t> cuts;  // tasks that begin a new piece
+        std::uint32_t nextIndex = 0;      // of the pieces that are added
+        std::optional<SlicePush> push;
+        std::vector<protocol::Change> changes;  // by piece
+    };
+    struct WrittenFinal {
+        std::string job;
+        bool cancelled = false;
+    };
     struct Batch {
         protocol::Transaction transaction;
-        std::vector<std::pair<std::string, bool>> finals;  // job, cancelled
-        struct Written {
-            std::string job;
-            std::uint32_t index = 0;
-            std::uint64_t version = 0;  // before
-        };
-        std::vector<Written> slices;
+        std::vector<WrittenFinal> finals;
+        std::vector<WrittenSlice> slices;
         std::size_t bytes = 0;
         std::set<std::string> jobs;  // with a condition already
     };
 
+    void addPushes(Batch& batch, Ledger& ledger, std::uint32_t part);
+    void addJobs(Batch& batch, Ledger& ledger, std::uint32_t part);
     void addFinal(Batch& batch, Job& job);
-    void addSlice(Batch& batch, Job& job, Slice& slice);
+    // Whether there was room for it.
+    bool addSlice(Batch& batch, Job& job, const Slice& slice, std::optional<SlicePush> push);
+    [[nodiscard]] std::vector<std::uint32_t> cutsToFit(const Slice& slice) const;
     [[nodiscard]] bool full(const Batch& batch) const;
     void finish(std::uint32_t part, const Batch& batch, CommitResult result,
                 std::uint64_t revision);
+    void finishSlice(Ledger& ledger, const WrittenSlice& written, std::uint64_t revision,
+                     std::set<std::string>& machines);
+    static void undoClaims(Ledger& ledger, const WrittenSlice& written, std::uint32_t part,
+                           CommitResult result);
+    void noteRejected(std::uint32_t part, const Batch& batch);
     void sweepLeftovers(std::uint32_t part);
 
     Context& context_;
     Committer& committer_;
-    std::deque<std::string> leftovers_;  // slice records of ended jobs
+    std::deque<std::string> leftovers_;                      // slice records of ended jobs
+    std::map<std::uint32_t, std::deque<SlicePush>> pushes_;  // by part
+    // What the state service is known to accept.
+    std::size_t mostChanges_;
+    std::size_t mostValueBytes_;
+    std::map<std::uint32_t, SteadyTime> pausedUntil_;  // by part, after a rejection
 };
 
 }  // namespace fawnwheel::coordination
--- a/src/protocol/state_client.cpp
+++ b/src/protocol/state_client.cpp
@@ -32,6 +32,7 @@
         case 409:
             return StateResult::refused;
         case 400:
+            return StateResult::rejected;
         case 410:
         case 429:
         case 503:
--- a/src/protocol/state_client.h
+++ b/src/protocol/state_client.h
@@ -38,6 +38,7 @@
     ok,          // carried out
     refused,     // definitely not carried out, conditions failed
     notCarried,  // definitely not carried out (outage, over the limit, gone)
+    rejected,    // definitely not carried out, nor will it be: malformed, too large, or lease over
     unknown,     // may have been carried out or may yet be
 };
 
--- a/tests/sim/scenario_main.cpp
+++ b/tests/sim/scenario_main.cpp
@@ -127,6 +127,11 @@
             spec.stateRequests = line.numberAt(1);
             spec.stateWrites = line.numberAt(2);
         }
+        if (word == "record-limits")
+            spec.recordLimits = {line.numberAt(1), static_cast<std::size_t>(line.numberAt(2))};
+        if (word == "next-limits")
+            spec.nextLimits = {line.numberAt(1), static_cast<std::size_t>(line.numberAt(2))};
+        if (word == "old-version") spec.oldVersion = true;
         if (word == "team") {
             app::Team team;
             team.name = line.at(1);
@@ -170,6 +175,14 @@
             world.askAbout(line.at(3));
         } else if (word == "kill") {
             world.kill(index(3), length(5));
+        } else if (word == "upgrade") {
+            world.upgrade(index(3), length(5));
+        } else if (word == "upgrade-roll") {
+            for (int node = 0; node < world.nodeCount(); ++node)
+                world.at(world.now() + length(4) * node,
+                         [&world, node, line] { world.upgrade(node, Time(line.numberAt(6))); });
+        } else if (word == "lower-limits") {
+            world.lowerLimits();
         } else if (word == "state-outage") {
             world.stateOutage(length(3));
         } else if (word == "cloud-outage") {
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "bookkeeping/records.h"
 #include "protocol/names.h"
 
 namespace fawnwheel::sim {
@@ -113,6 +114,7 @@
 struct World::Node {
     std::string name;
     app::Settings settings;
+    bool oldVersion = false;
     std::shared_ptr<bool> alive;
     std::unique_ptr<NodeClock> clock;
     std::unique_ptr<NodeNetwork> network;
@@ -175,10 +177,15 @@
 }
 
 World::World(WorldSpec spec)
-    : spec_(std::move(spec)), rng_(spec_.seed), checker_(spec_.teams, spec_.cancel + Time(1)) {
+    : spec_(std::move(spec)),
+      rng_(spec_.seed),
+      checker_(spec_.teams, spec_.cancel + Time(1)),
+      limits_(spec_.recordLimits) {
     for (int i = 0; i < spec_.nodes; ++i) {
         auto node = std::make_unique<Node>();
         node->name = "node-" + std::to_string(i);
+        node->oldVersion = spec_.oldVersion;
+        setLimits(*node);
         auto& s = node->settings;
         s.name = node->name;
         s.zone = spec_.zones[static_cast<std::size_t>(i) % spec_.zones.size()];
@@ -241,6 +248,26 @@
     at(now_ + down + startUp, [this, index] { startNode(index); });
 }
 
+void World::upgrade(int index, Time down) {
+    auto& node = *nodes_[static_cast<std::size_t>(index)];
+    kill(index, down);
+    node.oldVersion = false;
+    setLimits(node);
+}
+
+void World::setLimits(Node& node) const {
+    auto& settings = node.settings;
+    settings.valueKb = spec_.recordLimits.valueKb;
+    settings.transactionChanges = spec_.recordLimits.changes;
+    if (node.oldVersion || !spec_.nextLimits) return;
+    settings.valueKb = std::min(settings.valueKb, spec_.nextLimits->valueKb);
+    settings.transactionChanges = std::min(settings.transactionChanges, spec_.nextLimits->changes);
+}
+
+void World::lowerLimits() {
+    limits_ = spec_.nextLimits.value_or(limits_);
+}
+
 // ---- the network
 
 void World::deliver(const std::string& from, const std::string& to, std::function<void()> action) {
@@ -452,7 +479,32 @@
     watch->reply(answer(200, {{wire::revision, revision_}, {wire::events, Json::array()}}));
 }
 
+bool World::withinLimits(const Json& body) const {
+    const auto& changes = protocol::listOf(body, wire::changes);
+    const auto& conditions = protocol::listOf(body, wire::conditions);
+    const auto conditionsMost = limits_.changes * app::Settings::conditionsPerChange;
+    return changes.size() <= limits_.changes && conditions.size() <= conditionsMost &&
+           std::all_of(changes.begin(), changes.end(), [this](const Json& change) {
+               const auto value = change.find(wire::value);
+               return value == change.end() ||
+                      static_cast<double>(value->dump().size()) <= limits_.valueKb * 1024;
+           });
+}
+
+Json World::asWrittenBy(const std::string& from, Json body) const {
+    const auto node = std::find_if(nodes_.begin(), nodes_.end(),
+                                   [&from](const auto& n) { return n->name == from; });
+    if (node == nodes_.end() || !(*node)->oldVersion) return body;
+    Json kept = Json::array();
+    for (const auto& change : protocol::listOf(body, wire::changes))
+        if (!protocol::textOf(change, wire::put).starts_with(bookkeeping::keys::upgraded({})))
+            kept.push_back(change);
+    body[wire::changes] = std::move(kept);
+    return body;
+}
+
 HttpResponse World::stateTransaction(const Json& body) {
+    if (!withinLimits(body)) return answer(400);
     Json failed = Json::array();
     for (const auto& condition : protocol::listOf(body, wire::conditions)) {
         const auto key = protocol::textOf(condition, wire::key);
@@ -503,8 +555,9 @@
         return answerWatches();
     }
     if (stateRefuses(from)) return reply(answer(503));
-    const auto body = protocol::decodeCbor(request.body);
+    auto body = protocol::decodeCbor(request.body);
     if (path == wire::pathTransaction) {
+        body = asWrittenBy(from, std::move(*body));
         if (now_ >= lateUntil_ || std::uniform_real_distribution<>(0, 1)(rng_) >= lateShare_)
             return reply(stateTransaction(*body));
         const Time later(
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -19,6 +19,12 @@
     int spotCapacity = 20;  // per zone
 };
 
+// What the state service accepts in one transaction.
+struct RecordLimits {
+    double valueKb = 4;
+    std::size_t changes = 12;
+};
+
 struct WorldSpec {
     std::uint64_t seed = 1;
     int nodes = 3;
@@ -31,6 +37,11 @@
     Time listLag{4};
     double stateRequests = 120;
     double stateWrites = 60;
+    RecordLimits recordLimits;
+    std::optional<RecordLimits> nextLimits;  // announced; in force from `lowerLimits` on
+    // Nodes behave as the version in production until they are upgraded: they leave no mark of the
+    // new version, and so nobody uses its formats, and know nothing of announced limits.
+    bool oldVersion = false;
 };
 
 class World {
@@ -51,6 +62,10 @@
 
     // Troubles
     void kill(int node, Time down);
+    // Kills the node, which comes back with the new version.
+    void upgrade(int node, Time down);
+    // The announced limits are in force from now on.
+    void lowerLimits();
     void stateOutage(Time length);
     void cloudOutage(Time length);
     void cut(const std::string& one, const std::string& other, Time length, bool hold);
@@ -150,6 +165,12 @@
     void serveState(const std::string& from, const transport::HttpRequest& request,
                     const transport::HttpReply& reply);
     transport::HttpResponse stateTransaction(const protocol::Json& body);
+    // Whether a transaction is within the limits in force.
+    [[nodiscard]] bool withinLimits(const protocol::Json& body) const;
+    // Without what the version in production would not have written.
+    [[nodiscard]] protocol::Json asWrittenBy(const std::string& node, protocol::Json body) const;
+    // What the node's version makes of the limits in force and those announced.
+    void setLimits(Node& node) const;
     void changed(const std::string& key, bool deleted);
     void answerWatches();
     void endWatch(const std::shared_ptr<Watch>& watch);  // its time has run out
@@ -181,6 +202,7 @@
     Time now_{};
     std::multimap<Time, std::function<void()>> queue_;
     std::vector<std::unique_ptr<Node>> nodes_;
+    RecordLimits limits_;  // in force
     std::map<std::string, std::unique_ptr<Worker>> workers_;
     std::map<std::string, Truth> truths_;
     std::map<std::string, Record> records_;
--- a/tests/unit/records_test.cpp
+++ b/tests/unit/records_test.cpp
@@ -113,6 +113,82 @@
     }
 }
 
+TEST_F(Records, ADividedSliceIsOneSliceLessAndOneMore) {
+    const Job job = makeJob(10);
+    put(keys::job("run-1"), jobValue(job), 5);
+    putMachine("m-1", 6);
+    Slice whole = job.slices[1];
+    whole.markDone(4);
+    Claim claim;
+    claim.task = 6;
+    claim.machine = "m-1";
+    claim.attempt = 9;
+    whole.claims.push_back(claim);
+    put(keys::slice("run-1", 1), sliceValue(whole), 7);
+    ASSERT_EQ(ledger.machine("m-1")->claims.size(), 1U);
+
+    const auto pieces = cutSlice(whole, {6, 7}, 3);
+    ASSERT_EQ(pieces.size(), 3U);
+    // Both orders: the records of a division have one revision.
+    for (const bool backwards : {false, true}) {
+        Ledger other;
+        std::swap(other.jobs, ledger.jobs);
+        std::swap(other.machines, ledger.machines);
+        ledger.rebuildIndexes();
+        put(keys::job("run-1"), jobValue(job), 5);
+        putMachine("m-1", 6);
+        put(keys::slice("run-1", 1), sliceValue(whole), 7);
+        auto records = pieces;
+        if (backwards) std::reverse(records.begin(), records.end());
+        for (const auto& piece : records)
+            put(keys::slice("run-1", piece.index), sliceValue(piece), 8);
+        Job& read = *ledger.job("run-1");
+        ASSERT_EQ(read.slices.size(), 5U);
+        EXPECT_EQ(read.slices[1].range(), (TaskRange{4, 2}));
+        EXPECT_EQ(read.slices[3].range(), (TaskRange{6, 1}));
+        EXPECT_EQ(read.slices[4].range(), (TaskRange{7, 1}));
+        EXPECT_EQ(read.sliceOf(6), &read.slices[3]);
+        EXPECT_EQ(read.sliceOf(5), &read.slices[1]);
+        EXPECT_EQ(read.doneTasks(), 1U);
+        EXPECT_EQ(read.claimedTasks(), 1U);
+        EXPECT_EQ(ledger.machine("m-1")->claims.size(), 1U);
+        EXPECT_DOUBLE_EQ(ledger.machine("m-1")->used.cpus, 2);
+        EXPECT_EQ(sliceValue(read.slices[3]), sliceValue(pieces[1]));
+    }
+}
+
+TEST_F(Records, AJobIsNotDoneWhileAPieceOfItIsUnread) {
+    Job job = makeJob(4);
+    put(keys::job("run-1"), jobValue(job), 5);
+    auto pieces = cutSlice(job.slices[0], {2}, 1);
+    pieces[0].markDone(0);
+    pieces[0].markDone(1);
+    put(keys::slice("run-1", 0), sliceValue(pieces[0]), 6);
+    EXPECT_FALSE(ledger.job("run-1")->complete());
+    pieces[1].markDone(2);
+    pieces[1].markDone(3);
+    put(keys::slice("run-1", 1), sliceValue(pieces[1]), 6);
+    EXPECT_TRUE(ledger.job("run-1")->complete());
+}
+
+TEST_F(Records, RangesOutsideTheJobAreIgnored) {
+    put(keys::job("run-1"), jobValue(makeJob(4)), 5);
+    for (const auto* range :
+         {R"({"first":3,"count":2})", R"({"first":4,"count":1})", R"({"first":0,"count":0})",
+          R"({"first":0,"count":18446744073709551615})"})
+        put(keys::slice("run-1", 1), Json::parse(range), 6);
+    EXPECT_EQ(ledger.job("run-1")->doneTasks(), 0U);
+    EXPECT_EQ(ledger.job("run-1")->sliceOf(3)->index, 0U);
+    put(keys::slice("run-1", 9999), sliceValue(makeJob(4).slices[0]), 6);
+    EXPECT_LE(ledger.job("run-1")->slices.size(), 2U);
+}
+
+TEST_F(Records, MarksOfTheNewVersionStay) {
+    put(keys::upgraded("node-1"), upgradedValue(), 5);
+    drop(keys::upgraded("node-1"), 6);
+    EXPECT_TRUE(ledger.upgradedNodes.contains("node-1"));
+}
+
 TEST_F(Records, TellsGoneMachinesFromNewOnes) {
     putMachine("m-1", 3);
     drop(keys::machine("m-1"), 4);
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -56,8 +56,9 @@
     EXPECT_EQ(settings.transactionChanges, 12U);
     EXPECT_EQ(settings.valueKb, 4);
     EXPECT_TRUE(errorOf(with(R"({"next": null})")).empty());
-    EXPECT_NE(errorOf(with(R"({"next": {"txn_ops": "few"}})")).find("deployment.state.next.txn_ops"),
-              std::string::npos);
+    EXPECT_NE(
+        errorOf(with(R"({"next": {"txn_ops": "few"}})")).find("deployment.state.next.txn_ops"),
+        std::string::npos);
     EXPECT_NE(errorOf(with(R"({"next": 4})")).find("deployment.state.next"), std::string::npos);
 }
 
--- a/tests/unit/shared_formats_test.cpp
+++ b/tests/unit/shared_formats_test.cpp
@@ -17,8 +17,7 @@
     R"("submitted":1700000000123})";
 constexpr auto sliceText =
     R"({"claims":[[2,"m-000231",17592186044417]],"done":[[0,1],[3,3]],"part":1})";
-constexpr auto machineText =
-    R"({"part":2,"retired":false,"spot":true,"type":"g8","zone":"a"})";
+constexpr auto machineText = R"({"part":2,"retired":false,"spot":true,"type":"g8","zone":"a"})";
 constexpr auto lentMachineText =
     R"({"floor":720897,"lender":1,"part":2,"retired":true,"spot":false,"type":"g8","zone":"b"})";
 constexpr auto partText = R"({"owner":"spoke-1","term":11})";
@@ -125,6 +124,7 @@
 }
 
 TEST_F(SharedRecords, SlicesBeyondThoseOfTheJobAreIgnored) {
+    // As production writes them: without a range of their own.
     putJob();
     put("live/slice/run-000412/3", sliceText, 6);
     EXPECT_EQ(ledger.job("run-000412")->slices.size(), 3U);
