--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -15,6 +15,30 @@
     return found == jobs.end() ? nullptr : &found->second;
 }
 
+void Ledger::addJob(Job job) {
+    const auto id = job.spec.id;
+    Job& added = jobs.insert_or_assign(id, std::move(job)).first->second;
+    added.calledOff = calledOff(added);
+    dependencies.add(added);
+}
+
+bool Ledger::noteCancellation(const std::string& id, std::uint64_t revision) {
+    const bool fresh = cancellations.note(id, revision);
+    if (Job* live = job(id); live != nullptr && !live->calledOff) dependencies.noteCancelled(*live);
+    return fresh;
+}
+
+void Ledger::clearRecords() {
+    jobs.clear();
+    dependencies.clear();
+    machines.clear();
+    parts.clear();
+    nodes.clear();
+    shares.clear();
+    shareVersions.clear();
+    lastTerm = termVersion = catalogVersion = 0;
+}
+
 Machine* Ledger::machine(const std::string& id) {
     const auto found = machines.find(id);
     return found == machines.end() ? nullptr : &found->second;
@@ -106,6 +130,7 @@
     if (found == nullptr) return;
     for (const auto& slice : found->slices)
         for (const auto& claim : slice.claims) detach(*found, claim);
+    dependencies.remove(*found);
     jobs.erase(id);
 }
 
@@ -173,6 +198,7 @@
     for (const auto& [id, j] : jobs)
         for (const auto& slice : j.slices)
             for (const auto& claim : slice.claims) attach(j, claim);
+    dependencies.prune();
 }
 
 double Ledger::cachedShare(const JobSpec& spec, std::uint32_t part) const {
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "bookkeeping/cancellations.h"
+#include "bookkeeping/dependencies.h"
 #include "bookkeeping/job.h"
 
 namespace fawnwheel::bookkeeping {
@@ -98,7 +99,12 @@
 
 class Ledger {
   public:
+    Ledger() : dependencies(jobs) {}
+    Ledger(const Ledger&) = delete;
+    Ledger& operator=(const Ledger&) = delete;
+
     std::map<std::string, Job> jobs;
+    Dependencies dependencies;
     std::map<std::string, Machine> machines;
     std::map<std::uint32_t, Part> parts;
     std::map<std::string, std::uint64_t> nodes;  // alive, with the record's version
@@ -120,6 +126,14 @@
 
     [[nodiscard]] Job* job(const std::string& id);
     [[nodiscard]] Machine* machine(const std::string& id);
+    // A job's record was seen for the first time.
+    void addJob(Job job);
+    // Cancelled for certain; in the records at this revision.
+    bool noteCancellation(const std::string& id, std::uint64_t revision);
+    // Its tasks may have places: it waits for no other job, is not cancelled and has not ended.
+    [[nodiscard]] bool schedulable(const Job& job) const {
+        return !job.waiting && !job.doomed && !job.finishing && !calledOff(job);
+    }
     // Cancelled as far as anybody has told us, be it recorded here or not: its tasks are stopped
     // and none is started. What is recorded rests on `Job::cancelled` alone.
     [[nodiscard]] bool calledOff(const Job& job) const {
@@ -148,6 +162,8 @@
     void replaceSlice(Job& job, Slice& slice, SliceContent content);
     // The slice becomes these pieces; the first takes its place, the others those of their index.
     void divideSlice(Job& job, std::uint32_t index, const std::vector<Slice>& pieces);
+    // All that mirrors records is dropped, before they are read anew.
+    void clearRecords();
     // After the records were read anew.
     void rebuildIndexes();
 
--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -22,6 +22,7 @@
 constexpr auto upgradedKey = "live/upgraded/";
 constexpr auto rangeFirst = "first";
 constexpr auto rangeCount = "count";
+constexpr auto finalAt = "at";
 constexpr double bytesPerTask = 52;  // a claim with long names, plus its done range
 constexpr std::uint32_t smallSlice = 4;
 constexpr std::uint32_t slicesWanted = 16;
@@ -47,16 +48,18 @@
     if (!std::holds_alternative<JobSpec>(spec)) return;
     const auto part = static_cast<std::uint32_t>(countOf(value, "part"));
     if (known == nullptr) {
-        known = &ledger.jobs[id];
-        known->spec = std::get<JobSpec>(spec);
-        known->sliceSize =
+        Job job;
+        job.spec = std::get<JobSpec>(spec);
+        job.sliceSize =
             std::max<std::uint32_t>(1, static_cast<std::uint32_t>(countOf(value, "slice", 1)));
-        known->slices = makeSlices(known->spec, known->sliceSize, part);
+        job.slices = makeSlices(job.spec, job.sliceSize, part);
+        job.submitted = WallTime(std::chrono::milliseconds(countOf(value, "submitted")));
+        ledger.addJob(std::move(job));
+        known = ledger.job(id);
     }
     known->part = part;
     known->cancelled = flagOf(value, "cancelled");
-    if (known->cancelled) ledger.cancellations.note(id, event.version);
-    known->submitted = transport::WallTime(std::chrono::milliseconds(countOf(value, "submitted")));
+    if (known->cancelled) ledger.noteCancellation(id, event.version);
     known->version = event.version;
     for (auto& slice : known->slices)
         if (slice.version == 0) slice.part = part;
@@ -263,12 +266,20 @@
     return protocol::encodeCatalog(types);
 }
 
-Json finalValue(bool cancelled) {
-    return {{"cancelled", cancelled}};
+Json finalValue(const FinalState& state) {
+    Json value{{"cancelled", state.cancelled}};
+    if (state.at)
+        value[finalAt] =
+            std::chrono::duration_cast<std::chrono::milliseconds>(state.at->time_since_epoch())
+                .count();
+    return value;
 }
 
-bool finalIsCancelled(const Json& value) {
-    return flagOf(value, "cancelled");
+FinalState readFinal(const Json& value) {
+    FinalState state{flagOf(value, "cancelled"), std::nullopt};
+    if (value.contains(finalAt))
+        state.at = WallTime(std::chrono::milliseconds(countOf(value, finalAt)));
+    return state;
 }
 
 std::uint32_t sliceSizeFor(const JobSpec& spec, double valueKb) {
@@ -283,7 +294,7 @@
 void noteCancellation(Ledger& ledger, const protocol::Event& event) {
     const auto id = after(event.key, jobKey);
     if (id && event.value && flagOf(*event.value, "cancelled"))
-        ledger.cancellations.note(*id, event.version);
+        ledger.noteCancellation(*id, event.version);
 }
 
 void applyEvent(Ledger& ledger, const protocol::Event& event, SteadyTime now) {
--- a/src/bookkeeping/records.h
+++ b/src/bookkeeping/records.h
@@ -35,8 +35,8 @@
 Json shareValue(const std::map<std::uint32_t, TeamShare>& shares);
 Json upgradedValue();
 Json catalogValue(const std::vector<protocol::MachineType>& types);
-Json finalValue(bool cancelled);
-bool finalIsCancelled(const Json& value);
+Json finalValue(const FinalState& state);
+FinalState readFinal(const Json& value);
 
 // How many tasks a slice may have so that its record, all tasks claimed, stays within a value.
 std::uint32_t sliceSizeFor(const JobSpec& spec, double valueKb);
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -31,12 +31,15 @@
       loans_(context_, membership_, committer_, placement_, reports_),
       shares_(context_, membership_, committer_, placement_),
       moves_(context_, membership_, committer_, recorder_, placement_),
-      intake_(context_, membership_, moves_) {
+      lookup_(context_),
+      intake_(context_, lookup_, moves_),
+      triggers_(context_, membership_) {
     mirror_.inFlight = [this](const std::string& key) { return committer_.inFlight(key); };
     mirror_.onChange = [this] {
         fleet_.adoptCatalog();
         membership_.review();
         noteCancellations();
+        triggers_.review();
         soon();
     };
     committer_.onDoubt = [this] { mirror_.resync(); };
@@ -51,9 +54,16 @@
         soon();
     };
     recorder_.onFinal = [this](const std::string& id, bool cancelled) {
-        intake_.noteFinal(id, cancelled);
+        lookup_.noteFinal(id, cancelled);
+        triggers_.announce(id);
         stopping_.erase(id);
     };
+    recorder_.onCancelled = [this] { membership_.spreadCancellations([] {}); };
+    triggers_.onRead = [this] { soon(); };
+    lookup_.recordsCurrentAsOf = [this] { return mirror_.currentAsOf(); };
+    context_.ledger.lock()->dependencies.stepTime = [this](const protocol::JobSpec& spec) {
+        return placement_.stepTime(spec);
+    };
     recorder_.onDurable = [this](const std::set<std::string>& machines) {
         reports_.nudge(machines);
         soon();
@@ -132,6 +142,7 @@
     std::erase_if(stopping_, [this](const std::string& id) {
         return context_.ledger.lock()->job(id) == nullptr;
     });
+    triggers_.review();
     soon();
     context_.timers.after(housekeepingPeriod, [this] { housekeeping(); });
 }
@@ -187,6 +198,8 @@
                 loans_.onAsk(peer, message);
             else if constexpr (std::is_same_v<Message, protocol::ShareAsk>)
                 shares_.onAsk(peer, message);
+            else if constexpr (std::is_same_v<Message, protocol::JobEnded>)
+                triggers_.onEnded(message);
         },
         envelope->message);
 }
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -8,6 +8,7 @@
 #include "coordination/mirror.h"
 #include "coordination/moves.h"
 #include "coordination/shares.h"
+#include "coordination/triggers.h"
 
 namespace fawnwheel::coordination {
 
@@ -40,7 +41,9 @@
     Loans loans_;
     Shares shares_;
     Moves moves_;
+    JobLookup lookup_;
     Intake intake_;
+    Triggers triggers_;
     bool workPlanned_ = false;
     Duration workTook_{};
     std::set<std::string> stopping_;  // cancelled jobs whose stops have been sent
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -17,13 +17,12 @@
 using transport::HttpReply;
 using transport::HttpResponse;
 
-constexpr std::size_t maxFinals = 4000;
-constexpr std::size_t maxQuestions = 2000;
 constexpr int maxTries = 4;
 constexpr int retryAfterSeconds = 1;
-constexpr double pollsShareOfRequests = 0.3;
 constexpr double tolerance = 3.0;  // times the fastest
 constexpr double slackSeconds = 0.1;
+constexpr double shareSlack = 1e-9;
+constexpr std::size_t ownConditions = 2;  // of a job that is created
 
 HttpResponse later() {
     return {503, {}, retryAfterSeconds};
@@ -53,15 +52,6 @@
     };
 }
 
-void Intake::noteFinal(const std::string& id, bool cancelled) {
-    if (!finals_.emplace(id, cancelled).second) return;
-    finalOrder_.push_back(id);
-    if (finalOrder_.size() > maxFinals) {
-        finals_.erase(finalOrder_.front());
-        finalOrder_.pop_front();
-    }
-}
-
 std::optional<HttpResponse> Intake::check(const protocol::JobSpec& spec) const {
     const auto* team = context_.team(spec.team);
     if (team == nullptr && !context_.settings.teams.empty()) return HttpResponse{422, {}, 0};
@@ -76,81 +66,198 @@
     if (!fits) return HttpResponse{422, {}, 0};
     if (team != nullptr) {
         const double at = spec.kind == protocol::JobKind::array ? 1 : spec.tasks;
-        if ((team->cpusMax > 0 && spec.each.cpus * at > team->cpusMax + 1e-9) ||
-            (team->gpusMax > 0 && spec.each.gpus * at > team->gpusMax + 1e-9))
+        if ((team->cpusMax > 0 && spec.each.cpus * at > team->cpusMax + shareSlack) ||
+            (team->gpusMax > 0 && spec.each.gpus * at > team->gpusMax + shareSlack))
             return HttpResponse{422, {}, 0};
     }
     return std::nullopt;
 }
 
+Job Intake::newJob(const protocol::JobSpec& spec) const {
+    Job job;
+    job.spec = spec;
+    job.submitted = context_.timers.wallNow();
+    job.sliceSize = bookkeeping::sliceSizeFor(spec, context_.settings.valueKb);
+    return job;
+}
+
+bool Intake::recordable(const protocol::JobSpec& spec) const {
+    Job job = newJob(spec);
+    job.part = context_.partCount();
+    return bookkeeping::jobValue(job).dump().size() <= context_.settings.valueBytes() &&
+           spec.predecessors.size() + ownConditions <= context_.settings.transactionConditions();
+}
+
 void Intake::submit(const std::string& body, HttpReply reply) {
     const auto map = protocol::decodeCbor(body);
     if (!map) return reply({400, {}, 0});
     auto parsed = protocol::parseJobSpec(*map);
     if (!std::holds_alternative<protocol::JobSpec>(parsed)) return reply({400, {}, 0});
-    const auto& spec = std::get<protocol::JobSpec>(parsed);
-    if (const auto found = finals_.find(spec.id); found != finals_.end())
-        return reply(
-            stateOf(spec.id, found->second ? Standing::finalCancelled : Standing::finalDone, true));
+    auto& spec = std::get<protocol::JobSpec>(parsed);
+    if (const auto final = lookup_.knownFinal(spec.id))
+        return reply(stateOf(spec.id, *final, true));
+    if (!recordable(spec)) return reply({400, {}, 0});
     // Answered at once when we can't take it: the user is told when to come again.
     if (!synced() || !context_.state.reachable() || limit_.full()) return reply(later());
     reply = limited(std::move(reply));
-    const auto known = [this, id = spec.id, reply] {
-        standing(id, [this, id, reply](Standing standing) {
-            if (standing == Standing::unknownJob) return reply(later());
-            tell(id, standing, true, reply);
-        });
-    };
     // A job that was accepted once is known, whatever the catalog or the teams say by now.
-    if (context_.ledger.lock()->job(spec.id) != nullptr) return known();
-    if (auto refusal = check(spec)) {
-        return standing(spec.id, [this, id = spec.id, refusal, reply](Standing standing) {
-            if (standing == Standing::noAnswer) return reply(later());
-            if (standing == Standing::unknownJob) return reply(*refusal);
+    if (context_.ledger.lock()->job(spec.id) != nullptr) return tellKnown(spec.id, reply);
+    if (auto refusal = check(spec))
+        return lookup_.find(spec.id, [this, id = spec.id, refusal, reply](JobStanding standing) {
+            if (standing == JobStanding::noAnswer) return reply(later());
+            if (standing == JobStanding::unknownJob) return reply(*refusal);
             tell(id, standing, true, reply);
         });
+    accept(std::make_shared<Submission>(
+        Submission{std::move(spec), std::move(reply), 0, std::map<std::string, bool>{}}));
+}
+
+void Intake::tellKnown(const std::string& id, const HttpReply& reply) {
+    lookup_.find(id, [this, id, reply](JobStanding standing) {
+        if (standing == JobStanding::unknownJob) return reply(later());
+        tell(id, standing, true, reply);
+    });
+}
+
+Intake::Judgement Intake::judge(Ledger& ledger, const Submission& submission) const {
+    Judgement judgement;
+    // While a node of the version before may come back, nobody would keep the order for sure.
+    if (!submission.spec.predecessors.empty() && !context_.upgradeComplete(ledger))
+        judgement.refusal = later();
+    for (const auto& id : submission.spec.predecessors) {
+        if (const auto final = submission.finals.find(id); final != submission.finals.end()) {
+            judgement.cancelled = judgement.cancelled || final->second;
+            continue;
+        }
+        if (const auto final = lookup_.knownFinal(id)) {
+            judgement.cancelled = judgement.cancelled || final == JobStanding::finalCancelled;
+            continue;
+        }
+        const Job* live = ledger.job(id);
+        if (live == nullptr) {
+            judgement.unknown.push_back(id);
+            continue;
+        }
+        // A service never ends; and who needs a cancelled job is cancelled first.
+        if (live->spec.kind == protocol::JobKind::service)
+            judgement.refusal = HttpResponse{422, {}, 0};
+        else if (!live->cancelled && (live->doomed || ledger.calledOff(*live)))
+            judgement.refusal = later();
+        judgement.cancelled = judgement.cancelled || live->cancelled;
+        judgement.conditions.push_back({bookkeeping::keys::job(id), live->version});
     }
-    Job job;
-    job.spec = spec;
-    job.submitted = context_.timers.wallNow();
-    job.sliceSize = bookkeeping::sliceSizeFor(spec, context_.settings.valueKb);
+    return judgement;
+}
+
+void Intake::accept(const SubmissionPtr& submission) {
+    if (submission->tries++ >= maxTries) return submission->reply(later());
+    const auto judgement = judge(*context_.ledger.lock(), *submission);
+    if (judgement.refusal) return submission->reply(*judgement.refusal);
+    if (!judgement.unknown.empty()) return lookUp(submission, judgement.unknown);
+    if (judgement.cancelled)
+        createCancelled(submission, judgement);
+    else
+        create(submission, judgement);
+}
+
+void Intake::lookUp(const SubmissionPtr& submission, const std::vector<std::string>& predecessors) {
+    struct Gather {
+        std::size_t left = 0;
+        std::optional<HttpResponse> refusal;
+    };
+    auto gather = std::make_shared<Gather>();
+    gather->left = predecessors.size();
+    for (const auto& id : predecessors)
+        lookup_.find(id, [this, submission, gather, id](JobStanding standing) {
+            if (standing == JobStanding::finalDone || standing == JobStanding::finalCancelled)
+                submission->finals[id] = standing == JobStanding::finalCancelled;
+            // Only the state service itself can say that a job was never accepted.
+            if (standing == JobStanding::unknownJob) gather->refusal = HttpResponse{422, {}, 0};
+            if (standing == JobStanding::noAnswer && !gather->refusal) gather->refusal = later();
+            if (--gather->left > 0) return;
+            if (gather->refusal) return submission->reply(*gather->refusal);
+            accept(submission);
+        });
+}
+
+void Intake::create(const SubmissionPtr& submission, const Judgement& judgement) {
+    const auto& spec = submission->spec;
+    Job job = newJob(spec);
     job.part = moves_.mapJob(job);
     const auto key = bookkeeping::keys::job(spec.id);
     const auto value = bookkeeping::jobValue(job);
-    // Also if this is carried out late it can't revive a job: its end is a record as well.
+    // Also if this is carried out late it can't revive a job: its end is a record as well. Nor can
+    // it follow a job that has been called off or has ended meanwhile: that changes its live
+    // record.
+    protocol::Transaction transaction{judgement.conditions, {{key, value, 0}}};
+    transaction.conditions.push_back({key, 0});
+    transaction.conditions.push_back({bookkeeping::keys::final(spec.id), 0});
     context_.state.transact(
-        {{{key, 0}, {bookkeeping::keys::final(spec.id), 0}}, {{key, value, 0}}},
-        protocol::Urgency::intake,
-        [this, id = spec.id, key, value, known, reply](const protocol::TransactionAnswer& answer) {
-            if (answer.result == StateResult::refused) return known();
-            if (answer.result != StateResult::ok) return reply(later());
+        std::move(transaction), protocol::Urgency::intake,
+        [this, submission, key, value](const protocol::TransactionAnswer& answer) {
+            if (answer.result == StateResult::refused) return onRefused(submission, answer);
+            if (answer.result != StateResult::ok) return submission->reply(later());
             {
                 auto ledger = context_.ledger.lock();
                 bookkeeping::applyEvent(*ledger, {key, value, answer.revision}, context_.now());
             }
-            reply(ok(protocol::encodeJobState(id, protocol::wire::stateQueued), 201));
+            submission->reply(ok(
+                protocol::encodeJobState(submission->spec.id, protocol::wire::stateQueued), 201));
             onAccepted();
         });
 }
 
-HttpResponse Intake::stateOf(const std::string& id, Standing standing, bool brief) {
+void Intake::createCancelled(const SubmissionPtr& submission, const Judgement& judgement) {
+    // It is accepted all the same, and ends there and then.
+    const auto& id = submission->spec.id;
+    const auto final = bookkeeping::keys::final(id);
+    protocol::Transaction transaction{
+        judgement.conditions,
+        {{final, bookkeeping::finalValue({true, context_.timers.wallNow()}), 0}}};
+    transaction.conditions.push_back({bookkeeping::keys::job(id), 0});
+    transaction.conditions.push_back({final, 0});
+    context_.state.transact(
+        std::move(transaction), protocol::Urgency::intake,
+        [this, submission](const protocol::TransactionAnswer& answer) {
+            if (answer.result == StateResult::refused) return onRefused(submission, answer);
+            if (answer.result != StateResult::ok) return submission->reply(later());
+            lookup_.noteFinal(submission->spec.id, true);
+            submission->reply(
+                ok(protocol::encodeJobState(submission->spec.id, protocol::wire::stateCancelled),
+                   201));
+        });
+}
+
+void Intake::onRefused(const SubmissionPtr& submission, const protocol::TransactionAnswer& answer) {
+    const auto& id = submission->spec.id;
+    std::vector<std::string> moved;  // predecessors whose records have changed
+    for (const auto& predecessor : submission->spec.predecessors)
+        if (std::find(answer.failed.begin(), answer.failed.end(),
+                      bookkeeping::keys::job(predecessor)) != answer.failed.end())
+            moved.push_back(predecessor);
+    const auto failedOwn = answer.failed.size() > moved.size();
+    if (failedOwn || moved.empty()) return tellKnown(id, submission->reply);
+    lookUp(submission, moved);
+}
+
+HttpResponse Intake::stateOf(const std::string& id, JobStanding standing, bool brief) {
     namespace wire = protocol::wire;
     const char* state = wire::stateQueued;
     std::uint32_t done = 0;
     std::uint32_t running = 0;
     switch (standing) {
-        case Standing::unknownJob:
+        case JobStanding::unknownJob:
             return {404, {}, 0};
-        case Standing::noAnswer:
+        case JobStanding::noAnswer:
             return later();
-        case Standing::finalDone:
+        case JobStanding::finalDone:
             state = wire::stateDone;
             break;
-        case Standing::cancelled:
-        case Standing::finalCancelled:
+        case JobStanding::cancelled:
+        case JobStanding::finalCancelled:
             state = wire::stateCancelled;
             break;
-        case Standing::active: {
+        case JobStanding::active: {
             auto ledger = context_.ledger.lock();
             if (const Job* job = ledger->job(id)) {
                 done = job->doneTasks();
@@ -163,9 +270,9 @@
                     : protocol::encodeJobState(id, state, done, running));
 }
 
-void Intake::tell(const std::string& id, Standing standing, bool brief, const HttpReply& reply) {
+void Intake::tell(const std::string& id, JobStanding standing, bool brief, const HttpReply& reply) {
     auto answer = stateOf(id, standing, brief);
-    if (standing != Standing::cancelled) return reply(std::move(answer));
+    if (standing != JobStanding::cancelled) return reply(std::move(answer));
     // Also where it was read only: the transaction may have been carried out late, unanswered, and
     // this is then the first that anybody is told of it.
     onCancelled([reply, answer = std::move(answer)] { reply(answer); });
@@ -173,133 +280,22 @@
 
 void Intake::ask(const std::string& id, HttpReply reply) {
     if (!protocol::validJobId(id)) return reply({404, {}, 0});
-    if (const auto found = finals_.find(id); found != finals_.end())
-        return reply(
-            stateOf(id, found->second ? Standing::finalCancelled : Standing::finalDone, false));
+    if (const auto final = lookup_.knownFinal(id)) return reply(stateOf(id, *final, false));
     if (!synced() || limit_.full()) return reply(later());
     reply = limited(std::move(reply));
-    standing(id, [this, id, reply](Standing standing) { tell(id, standing, false, reply); });
-}
-
-void Intake::standing(const std::string& id, StandingDone done, int tries) {
-    if (tries >= maxTries || questions_.size() >= maxQuestions) return done(Standing::noAnswer);
-    questions_.push_back({id, std::move(done), tries});
-    if (flushing_) return;
-    flushing_ = true;
-    // Questions are gathered for a moment: one comparing request answers many of them.
-    const double share = context_.settings.stateRequests /
-                         static_cast<double>(context_.nodes.size()) * pollsShareOfRequests;
-    context_.timers.after(ticks(Seconds(std::min(0.25, 1.0 / share))), [this] {
-        flushing_ = false;
-        flushQuestions();
-    });
-}
-
-void Intake::flushQuestions() {
-    const auto most = context_.settings.transactionConditions();
-    while (!questions_.empty()) {
-        protocol::Transaction compare;
-        auto batch = std::make_shared<std::vector<std::pair<Question, bool>>>();  // known?
-        {
-            auto ledger = context_.ledger.lock();
-            while (!questions_.empty() && compare.conditions.size() + 2 <= most) {
-                Question question = std::move(questions_.front());
-                questions_.pop_front();
-                const Job* job = ledger->job(question.id);
-                const auto key = bookkeeping::keys::job(question.id);
-                if (job != nullptr) {
-                    compare.conditions.push_back({key, job->version});
-                } else {
-                    compare.conditions.push_back({key, 0});
-                    compare.conditions.push_back({bookkeeping::keys::final(question.id), 0});
-                }
-                const bool known = job != nullptr;
-                batch->emplace_back(std::move(question), known);
-            }
-        }
-        context_.state.transact(
-            std::move(compare), protocol::Urgency::read,
-            [this, batch](const protocol::TransactionAnswer& answer) {
-                if (answer.result != StateResult::ok && answer.result != StateResult::refused) {
-                    for (auto& [question, known] : *batch) question.done(Standing::noAnswer);
-                    return;
-                }
-                for (auto& [question, known] : *batch) {
-                    const auto failed = [&](const std::string& key) {
-                        return std::find(answer.failed.begin(), answer.failed.end(), key) !=
-                               answer.failed.end();
-                    };
-                    if (failed(bookkeeping::keys::job(question.id)) ||
-                        failed(bookkeeping::keys::final(question.id))) {
-                        readJob(question);
-                    } else if (answer.result == StateResult::refused) {
-                        // Others of the batch have failed; this one is asked again.
-                        standing(question.id, question.done, question.tries + 1);
-                    } else {
-                        bool cancelled = false;
-                        if (known) {
-                            auto ledger = context_.ledger.lock();
-                            const Job* job = ledger->job(question.id);
-                            cancelled = job != nullptr && job->cancelled;
-                            // Ended by ourselves while this was under way, or called off: its user
-                            // may have been told so by a peer before this answer came, which was
-                            // given before that (mass_cancel).
-                            if (job == nullptr || (!cancelled && ledger->calledOff(*job))) {
-                                standing(question.id, question.done, question.tries + 1);
-                                continue;
-                            }
-                        }
-                        question.done(!known      ? Standing::unknownJob
-                                      : cancelled ? Standing::cancelled
-                                                  : Standing::active);
-                    }
-                }
-            });
-    }
-}
-
-void Intake::readJob(const Question& question) {
-    context_.state.read(
-        bookkeeping::keys::final(question.id), [this, question](const protocol::ReadAnswer& end) {
-            if (end.result != StateResult::ok) return question.done(Standing::noAnswer);
-            if (!end.items.empty()) {
-                const bool cancelled = bookkeeping::finalIsCancelled(end.items.front().value);
-                noteFinal(question.id, cancelled);
-                return question.done(cancelled ? Standing::finalCancelled : Standing::finalDone);
-            }
-            context_.state.read(
-                bookkeeping::keys::job(question.id),
-                [this, question](const protocol::ReadAnswer& live) {
-                    if (live.result != StateResult::ok) return question.done(Standing::noAnswer);
-                    // Ended between the two reads.
-                    if (live.items.empty())
-                        return standing(question.id, question.done, question.tries + 1);
-                    const auto& item = live.items.front();
-                    bool cancelled = false;
-                    {
-                        auto ledger = context_.ledger.lock();
-                        bookkeeping::applyEvent(*ledger, {item.key, item.value, item.version},
-                                                context_.now());
-                        const Job* job = ledger->job(question.id);
-                        cancelled = job != nullptr && job->cancelled;
-                    }
-                    question.done(cancelled ? Standing::cancelled : Standing::active);
-                });
-        });
+    lookup_.find(id, [this, id, reply](JobStanding standing) { tell(id, standing, false, reply); });
 }
 
 void Intake::cancel(const std::string& id, HttpReply reply) {
     if (!protocol::validJobId(id)) return reply({404, {}, 0});
-    if (const auto found = finals_.find(id); found != finals_.end())
-        return reply(
-            stateOf(id, found->second ? Standing::finalCancelled : Standing::finalDone, true));
+    if (const auto final = lookup_.knownFinal(id)) return reply(stateOf(id, *final, true));
     if (!synced() || limit_.full()) return reply(later());
     tryCancel(id, 0, limited(std::move(reply)));
 }
 
 void Intake::tryCancel(const std::string& id, int tries, HttpReply reply) {
-    standing(id, [this, id, tries, reply](Standing standing) {
-        if (standing != Standing::active) return tell(id, standing, true, reply);
+    lookup_.find(id, [this, id, tries, reply](JobStanding standing) {
+        if (standing != JobStanding::active) return tell(id, standing, true, reply);
         protocol::Transaction transaction;
         protocol::Json value;
         const auto key = bookkeeping::keys::job(id);
@@ -323,7 +319,7 @@
                     bookkeeping::applyEvent(*ledger, {key, value, answer.revision}, context_.now());
                 }
                 spdlog::debug("job {}: cancelled by its user", id);
-                tell(id, Standing::cancelled, true, reply);
+                tell(id, JobStanding::cancelled, true, reply);
             });
     });
 }
--- a/src/coordination/intake.h
+++ b/src/coordination/intake.h
@@ -3,8 +3,7 @@
 // another node's.
 #pragma once
 
-#include <unordered_map>
-
+#include "coordination/job_lookup.h"
 #include "coordination/membership.h"
 #include "coordination/moves.h"
 
@@ -30,15 +29,13 @@
 
 class Intake {
   public:
-    Intake(Context& context, Membership& membership, Moves& moves)
-        : context_(context), membership_(membership), moves_(moves) {}
+    Intake(Context& context, JobLookup& lookup, Moves& moves)
+        : context_(context), lookup_(lookup), moves_(moves) {}
 
     void submit(const std::string& body, transport::HttpReply reply);
     void ask(const std::string& id, transport::HttpReply reply);
     void cancel(const std::string& id, transport::HttpReply reply);
 
-    void noteFinal(const std::string& id, bool cancelled);
-
     std::function<bool()> synced = [] { return false; };
     // A cancellation is durable; `then` answers a user.
     std::function<void(std::function<void()> then)> onCancelled =
@@ -46,34 +43,45 @@
     std::function<void()> onAccepted = [] {};
 
   private:
-    // What the state service vouches for.
-    enum class Standing { unknownJob, active, cancelled, finalDone, finalCancelled, noAnswer };
-    using StandingDone = std::function<void(Standing)>;
-    struct Question {
-        std::string id;
-        StandingDone done;
+    // A submission that may have to be judged more than once.
+    struct Submission {
+        protocol::JobSpec spec;
+        transport::HttpReply reply;
         int tries = 0;
+        std::map<std::string, bool> finals;  // predecessors that have ended; cancelled?
+    };
+    using SubmissionPtr = std::shared_ptr<Submission>;
+    // What is known of a submission's predecessors.
+    struct Judgement {
+        std::vector<std::string> unknown;             // to be looked up
+        std::vector<protocol::Condition> conditions;  // live records as they were judged
+        std::optional<transport::HttpResponse> refusal;
+        bool cancelled = false;  // one of them is
     };
 
-    void standing(const std::string& id, StandingDone done, int tries = 0);
-    void flushQuestions();
-    void readJob(const Question& question);
-    [[nodiscard]] transport::HttpResponse stateOf(const std::string& id, Standing standing,
+    [[nodiscard]] transport::HttpResponse stateOf(const std::string& id, JobStanding standing,
                                                   bool brief);
-    void tell(const std::string& id, Standing standing, bool brief,
+    void tell(const std::string& id, JobStanding standing, bool brief,
               const transport::HttpReply& reply);
+    void tellKnown(const std::string& id, const transport::HttpReply& reply);
     void tryCancel(const std::string& id, int tries, transport::HttpReply reply);
     transport::HttpReply limited(transport::HttpReply reply);
     [[nodiscard]] std::optional<transport::HttpResponse> check(const protocol::JobSpec& spec) const;
+    // Whether the job's record, and the conditions for creating it, are within the limits.
+    [[nodiscard]] bool recordable(const protocol::JobSpec& spec) const;
+    [[nodiscard]] Job newJob(const protocol::JobSpec& spec) const;
+
+    [[nodiscard]] Judgement judge(Ledger& ledger, const Submission& submission) const;
+    void accept(const SubmissionPtr& submission);
+    void lookUp(const SubmissionPtr& submission, const std::vector<std::string>& predecessors);
+    void create(const SubmissionPtr& submission, const Judgement& judgement);
+    void createCancelled(const SubmissionPtr& submission, const Judgement& judgement);
+    void onRefused(const SubmissionPtr& submission, const protocol::TransactionAnswer& answer);
 
     Context& context_;
-    Membership& membership_;
+    JobLookup& lookup_;
     Moves& moves_;
     AdaptiveLimit limit_;
-    std::deque<Question> questions_;
-    bool flushing_ = false;
-    std::unordered_map<std::string, bool> finals_;  // cancelled?
-    std::deque<std::string> finalOrder_;
 };
 
 }  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/job_lookup.h
@@ -0,0 +1,68 @@
+// What the state service vouches for about a job, at the time of the question.
+//
+// Many questions share one comparing transaction, so that every answer is as new as the records and
+// none costs a request of its own.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+#include "coordination/context.h"
+
+namespace fawnwheel::coordination {
+
+enum class JobStanding {
+    unknownJob,  // neither a live nor a final record
+    active,
+    cancelled,  // its tasks may not all be gone
+    finalDone,
+    finalCancelled,
+    noAnswer,  // can't be told now
+};
+
+class JobLookup {
+  public:
+    using Done = std::function<void(JobStanding)>;
+
+    explicit JobLookup(Context& context) : context_(context) {}
+
+    void find(const std::string& id, Done done) { ask({id, std::move(done), 0}); }
+    // Final states never change, so that the latest of them are kept.
+    void noteFinal(const std::string& id, bool cancelled);
+    [[nodiscard]] std::optional<JobStanding> knownFinal(const std::string& id) const;
+
+    // The records known here hold all that was carried out before this.
+    std::function<SteadyTime()> recordsCurrentAsOf = [] { return SteadyTime{}; };
+
+  private:
+    struct Question {
+        std::string id;
+        Done done;
+        int tries = 0;
+    };
+    struct Asked {
+        Question question;
+        bool live = false;  // in the ledger
+    };
+
+    void ask(Question question);
+    void askAgain(const Question& question);
+    void flush();
+    [[nodiscard]] static bool failed(const protocol::TransactionAnswer& answer,
+                                     const std::string& id);
+    void settle(const Asked& asked, const protocol::TransactionAnswer& answer);
+    void readFinal(const Question& question);
+    void readLive(const Question& question);
+    // Of a job whose live record is current.
+    [[nodiscard]] JobStanding standingOf(const Job& job) const;
+
+    Context& context_;
+    std::deque<Question> questions_;
+    bool flushing_ = false;
+    std::unordered_map<std::string, bool> finals_;  // cancelled?
+    std::deque<std::string> finalOrder_;
+};
+
+}  // namespace fawnwheel::coordination
--- a/src/coordination/loans.cpp
+++ b/src/coordination/loans.cpp
@@ -89,7 +89,7 @@
     const auto* type = context_.type(machine.type);
     return std::any_of(ledger.jobs.begin(), ledger.jobs.end(), [&](const auto& entry) {
         const Job& job = entry.second;
-        if (&job == &gang || job.cancelled || job.finishing || job.part != machine.part ||
+        if (&job == &gang || !ledger.schedulable(job) || job.part != machine.part ||
             job.claimedTasks() + job.doneTasks() >= job.spec.tasks)
             return false;
         return Placement::typeAllowed(job.spec, *type, machine.zone, machine.spot) &&
@@ -185,7 +185,7 @@
         return false;
     return std::any_of(ledger.jobs.begin(), ledger.jobs.end(), [&](const auto& entry) {
         const Job& job = entry.second;
-        return job.spec.kind != protocol::JobKind::gang && !job.cancelled && !job.finishing &&
+        return job.spec.kind != protocol::JobKind::gang && ledger.schedulable(job) &&
                std::any_of(job.slices.begin(), job.slices.end(),
                            [&](const Slice& slice) {
                                return slice.part == machine.part && slice.waiting() > 0;
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -125,7 +125,7 @@
     {
         auto ledger = context_.ledger.lock();
         for (const auto& job : status.cancelled)
-            fresh |= ledger->cancellations.note(job, bookkeeping::CancellationLog::unknownRevision);
+            fresh |= ledger->noteCancellation(job, bookkeeping::CancellationLog::unknownRevision);
     }
     // A list that begins after what we have leaves a gap, and the peer sends it again.
     const bool connects = status.position <= peer.taken;
--- a/src/coordination/mirror.cpp
+++ b/src/coordination/mirror.cpp
@@ -61,13 +61,7 @@
         auto ledger = context_.ledger.lock();
         // What is durable is replaced; what was learnt from workers stays with its machine.
         auto machines = std::move(ledger->machines);
-        ledger->jobs.clear();
-        ledger->machines.clear();
-        ledger->parts.clear();
-        ledger->nodes.clear();
-        ledger->shares.clear();
-        ledger->shareVersions.clear();
-        ledger->lastTerm = ledger->termVersion = ledger->catalogVersion = 0;
+        ledger->clearRecords();
         for (const auto& item : items_) {
             if (const auto slash = item.key.rfind('/');
                 item.key.starts_with(bookkeeping::keys::machine({}))) {
--- a/src/coordination/moves.cpp
+++ b/src/coordination/moves.cpp
@@ -83,7 +83,7 @@
     {
         auto ledger = context_.ledger.lock();
         for (const auto& [id, job] : ledger->jobs)
-            if (!job.cancelled && !job.finishing && movable(job, part)) waiting.push_back(id);
+            if (ledger->schedulable(job) && movable(job, part)) waiting.push_back(id);
     }
     auto& since = waitingSince_[part];
     std::erase_if(since, [&waiting](const auto& entry) {
@@ -104,7 +104,7 @@
             free = freedom(*job, part);
             // Elsewhere its image may have to be fetched: what has it here waits here for as long
             // as that would take.
-            const Seconds waited = context_.timers.wallNow() - job->submitted;
+            const Seconds waited = context_.timers.wallNow() - job->readySince;
             atRisk = placement_.atRisk(*job) && (free > 0 || waited >= placement_.fetchTime(*job));
         }
         queue.considered();
@@ -318,9 +318,22 @@
                  made.job, made.tasks, made.part, target);
 }
 
+std::optional<std::uint32_t> Moves::partOfPredecessors(const Job& job) {
+    // Parents with children, as DESIGN maps them: its trigger comes from the same process.
+    auto ledger = context_.ledger.lock();
+    for (auto id = job.spec.predecessors.rbegin(); id != job.spec.predecessors.rend(); ++id) {
+        const Job* live = ledger->job(*id);
+        if (live != nullptr && ledger->nodes.contains(ledger->parts[live->part].owner) &&
+            placement_.everFits(job, live->part))
+            return live->part;
+    }
+    return std::nullopt;
+}
+
 std::uint32_t Moves::mapJob(const Job& job) {
     // Greedy: where it would run first, by the queue there and by what its image takes to fetch.
     // Jobs of one image so come together in few parts, whose machines have it.
+    if (const auto part = partOfPredecessors(job)) return *part;
     std::uint32_t best = context_.naturalPart;
     std::tuple<int, double> bestScore{-1, 0};
     const auto fetch = placement_.fetchTime(job).count();
--- a/src/coordination/moves.h
+++ b/src/coordination/moves.h
@@ -81,6 +81,7 @@
     void finishPush(std::uint64_t ask, std::uint32_t target, bool pushed);
     void setLeaving(const Offer& offer, bool leaving);
     [[nodiscard]] QueueWatch::Tuning tuningFor(std::uint32_t part);
+    [[nodiscard]] std::optional<std::uint32_t> partOfPredecessors(const Job& job);
     [[nodiscard]] double freedom(const Job& job, std::uint32_t part);
     [[nodiscard]] std::uint32_t promised(std::uint32_t part);
 
--- a/src/coordination/openings.cpp
+++ b/src/coordination/openings.cpp
@@ -128,7 +128,7 @@
 Placement::Rivals Placement::largestOfClasses(const Ledger& ledger) {
     Rivals largest;
     for (const auto& [id, job] : ledger.jobs) {
-        if (job.cancelled) continue;
+        if (!ledger.schedulable(job)) continue;
         const auto same = std::find_if(largest.begin(), largest.end(), [&](const Job* other) {
             return other->spec.jobClass == job.spec.jobClass;
         });
@@ -147,7 +147,7 @@
     Resources after = opening.free;
     after -= job.spec.each;
     for (const auto* rival : rivals) {
-        if (rival->spec.jobClass == job.spec.jobClass || rival->spec.priority > job.spec.priority ||
+        if (rival->spec.jobClass == job.spec.jobClass || rival->priority > job.priority ||
             rival->spec.each.fits(job.spec.each) || !rival->spec.each.fits(opening.free) ||
             !typeAllowed(rival->spec, *kind.type, kind.zone, kind.spot))
             continue;
@@ -179,7 +179,7 @@
 
 std::uint32_t Placement::worthWaiting(const Openings& openings, const Job& job) const {
     const auto fetch = fetchTime(job);
-    const Seconds waited = context_.timers.wallNow() - job.submitted;
+    const Seconds waited = context_.timers.wallNow() - job.readySince;
     if (waited >= fetch || job.spec.estimate.count() <= 0) return 0;
     // Places on machines that have the image come free at this rate.
     double places = 0;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -67,22 +67,24 @@
     // since hurrying it helps nobody, but it grows old and is not passed over for ever.
     const auto now = context_.timers.wallNow();
     std::optional<transport::WallTime> next;
-    const auto consider = [&](Seconds afterSubmission) {
-        const auto latest = plus(job.submitted, afterSubmission);
+    const auto consider = [&](transport::WallTime latest) {
         if (latest > now && (!next || latest < *next)) next = latest;
     };
+    // A job that had to wait for others is late only from when it could have begun.
+    const auto sinceReady = [&job](Seconds time) { return plus(job.readySince, time); };
     for (const auto& objective : context_.settings.objectives) {
         if (objective.jobClass != job.spec.jobClass) continue;
-        if (objective.kind == app::ObjectiveKind::wait) consider(objective.within);
+        if (objective.kind == app::ObjectiveKind::wait) consider(sinceReady(objective.within));
         if (objective.kind == app::ObjectiveKind::finished)
-            consider(objective.within - job.spec.estimate);
+            consider(sinceReady(objective.within - job.spec.estimate));
     }
-    if (job.spec.deadline) consider(*job.spec.deadline - job.spec.estimate);
-    const auto latest = next ? *next : plus(job.submitted, patience);
+    if (job.spec.deadline) consider(plus(job.submitted, *job.spec.deadline - job.spec.estimate));
+    if (job.latestEnd) consider(plus(*job.latestEnd, -job.spec.estimate));
+    const auto latest = next ? *next : sinceReady(patience);
     // A day on which a class's largest gangs don't begin in time is lost, and they need the most
     // machines at once: behind what is easier to place, under half of them began.
-    if (isLargest(job) && now < plus(job.submitted, largestBegin))
-        return std::min(latest, plus(job.submitted, largestBegin - largestLead));
+    if (isLargest(job) && now < sinceReady(largestBegin))
+        return std::min(latest, sinceReady(largestBegin - largestLead));
     return latest;
 }
 
@@ -92,11 +94,17 @@
            job.spec.tasks >= largest->second;
 }
 
-Seconds Placement::fetchTime(const Job& job) const {
+Seconds Placement::stepTime(const protocol::JobSpec& spec) const {
+    // A start waits for a worker's report, and so may an end that was reported while one was under
+    // way.
+    return spec.estimate + fetchTime(spec) + context_.settings.report;
+}
+
+Seconds Placement::fetchTime(const protocol::JobSpec& spec) const {
     std::optional<double> fetch;
     for (const auto& type : context_.catalog) {
-        if (!typeAllowed(job.spec, type, job.spec.zone.value_or(""), false)) continue;
-        const double here = job.spec.imageSize / type.fetchRate;
+        if (!typeAllowed(spec, type, spec.zone.value_or(""), false)) continue;
+        const double here = spec.imageSize / type.fetchRate;
         fetch = fetch ? std::min(*fetch, here) : here;
     }
     return Seconds(fetch.value_or(0));
@@ -150,20 +158,20 @@
 }
 
 bool Placement::before(const Job& one, const Job& other) const {
-    return std::tuple(one.spec.priority, latestStart(one), one.spec.id) <
-           std::tuple(other.spec.priority, latestStart(other), other.spec.id);
+    return std::tuple(one.priority, latestStart(one), one.spec.id) <
+           std::tuple(other.priority, latestStart(other), other.spec.id);
 }
 
 std::vector<Placement::Ready> Placement::readyJobs(Ledger& ledger, std::uint32_t part) {
     std::vector<Ready> ready;
     const auto now = context_.now();
     for (const auto& [id, job] : ledger.jobs)
-        if (job.spec.kind == JobKind::gang) {
+        if (job.spec.kind == JobKind::gang && ledger.schedulable(job)) {
             auto& largest = largestGang_[job.spec.jobClass];
             largest = std::max(largest, job.spec.tasks);
         }
     for (auto& [id, job] : ledger.jobs) {
-        if (ledger.calledOff(job) || job.finishing || now < job.notBefore) continue;
+        if (!ledger.schedulable(job) || now < job.notBefore) continue;
         if (job.spec.kind == JobKind::gang && job.anyClaim()) {
             if (job.part == part) stopBrokenGang(job);
             continue;
@@ -174,8 +182,8 @@
         if (tasks > 0) ready.push_back({&job, tasks, latestStart(job)});
     }
     std::sort(ready.begin(), ready.end(), [](const Ready& a, const Ready& b) {
-        return std::tie(a.job->spec.priority, a.latest, a.job->spec.id) <
-               std::tie(b.job->spec.priority, b.latest, b.job->spec.id);
+        return std::tie(a.job->priority, a.latest, a.job->spec.id) <
+               std::tie(b.job->priority, b.latest, b.job->spec.id);
     });
     return ready;
 }
@@ -196,7 +204,7 @@
     const auto now = context_.now();
     auto ledger = context_.ledger.lock();
     for (const auto& [id, job] : ledger->jobs) {
-        if (ledger->calledOff(job) || job.finishing || now < job.notBefore ||
+        if (!ledger->schedulable(job) || now < job.notBefore ||
             (job.spec.kind == JobKind::gang && job.anyClaim()))
             continue;
         for (const auto& slice : job.slices)
@@ -234,7 +242,7 @@
     // fetches, and the backlog stayed (day zone of a fleet). What finds no place at all for long
     // takes one wherever it is.
     const auto fetch = fetchTime(job);
-    const Seconds waited = context_.timers.wallNow() - job.submitted;
+    const Seconds waited = context_.timers.wallNow() - job.readySince;
     return fetch > job.spec.estimate * fetchThatCounts &&
            (job.anyClaim() || waited < fetch * fetchesPassedOver);
 }
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -59,7 +59,10 @@
     // When a job should have started at the latest to meet what is expected of it.
     [[nodiscard]] transport::WallTime latestStart(const Job& job) const;
     // Seconds to fetch its image onto the fastest machine it may use.
-    [[nodiscard]] Seconds fetchTime(const Job& job) const;
+    [[nodiscard]] Seconds fetchTime(const Job& job) const { return fetchTime(job.spec); }
+    [[nodiscard]] Seconds fetchTime(const protocol::JobSpec& spec) const;
+    // From a job's release to its end, if its tasks find places at once.
+    [[nodiscard]] Seconds stepTime(const protocol::JobSpec& spec) const;
     // Whether it will miss its next aim unless it gets a place about now.
     [[nodiscard]] bool atRisk(const Job& job) const;
 
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -49,8 +49,7 @@
                 continue;
             }
             // Strictly lower priority only; a gang would lose all its tasks for one.
-            if (other->spec.priority <= job.spec.priority || other->spec.kind == JobKind::gang)
-                continue;
+            if (other->priority <= job.priority || other->spec.kind == JobKind::gang) continue;
             const bool saves = other->spec.checkpoint.count() > 0;
             const double ran = claim->ran ? Seconds(now - *claim->ran).count() : 0;
             candidates.push_back(
@@ -90,11 +89,11 @@
 protocol::Priority Placement::lowestRunning(const Ledger& ledger, std::uint32_t part) {
     auto lowest = protocol::Priority::production;
     for (const auto& [id, job] : ledger.jobs)
-        if (job.spec.priority > lowest && job.spec.kind != JobKind::gang &&
+        if (job.priority > lowest && job.spec.kind != JobKind::gang &&
             std::any_of(job.slices.begin(), job.slices.end(), [part](const Slice& slice) {
                 return slice.part == part && !slice.claims.empty();
             }))
-            lowest = job.spec.priority;
+            lowest = job.priority;
     return lowest;
 }
 
@@ -110,7 +109,7 @@
             context_.now() < job->preemptedUntil)
             continue;
         if (!lowest) lowest = lowestRunning(*ledger, part);
-        if (*lowest <= job->spec.priority) continue;
+        if (*lowest <= job->priority) continue;
         if (!openings) openings = openingsOf(*ledger, part);
         // A gang gets nothing from a part of the room it needs.
         const auto most = entry.gang ? entry.tasks : std::min(entry.tasks, mostPreempted);
--- a/src/coordination/recorder.cpp
+++ b/src/coordination/recorder.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t maxBytes = std::size_t{40} * 1024;  // of the 64 KiB a transaction may have
 constexpr std::size_t bytesPerClaim = 56;
 constexpr std::size_t bytesPerChange = 160;
+constexpr std::size_t bytesPerJob = 700;
 constexpr std::size_t leastChanges = 2;  // the end of a job drops one record and writes another
 constexpr std::size_t leastValueBytes = 512;
 constexpr auto pauseAfterRejection = 500ms;
@@ -44,13 +45,45 @@
     flush(part);
 }
 
-void Recorder::addFinal(Batch& batch, Job& job) {
+bool Recorder::over(Ledger& ledger, const Job& job) {
+    if (!job.cancelled) return job.complete();
+    // A cancelled job ends when the last of its tasks is proved gone. Claims by other parts are
+    // known up to `applied`; later ones fail on the job's version.
+    if (job.anyClaim() || ledger.applied < job.version) return false;
+    // Its live record stays until no live job that names it could be taken to wait for a job that
+    // is done. Later ones can't be created as if it were not cancelled: they fail on its version.
+    const auto& successors = ledger.dependencies.successors(job.spec.id);
+    return std::all_of(successors.begin(), successors.end(), [&ledger](const std::string& id) {
+        const Job* successor = ledger.job(id);
+        return successor == nullptr || successor->cancelled;
+    });
+}
+
+void Recorder::addCancellations(Batch& batch, Ledger& ledger, std::uint32_t part) {
+    // Whoever owns the part finishes it: what is left to do shows in the records.
+    for (const auto& [id, job] : ledger.jobs) {
+        if (full(batch)) return;
+        if (!job.doomed || job.cancelled || job.finishing || job.part != part) continue;
+        const auto key = bookkeeping::keys::job(id);
+        Job next = job;
+        next.cancelled = true;
+        batch.transaction.conditions.push_back({key, job.version});
+        batch.cancellations.push_back({key, bookkeeping::jobValue(next), 0});
+        batch.transaction.changes.push_back(batch.cancellations.back());
+        batch.bytes += bytesPerJob;
+        batch.jobs.insert(id);
+    }
+}
+
+void Recorder::addFinal(Batch& batch, const Ledger& ledger, Job& job) {
     auto& changes = batch.transaction.changes;
     if (changes.size() + 2 > mostChanges_) return;
     batch.transaction.conditions.push_back({bookkeeping::keys::job(job.spec.id), job.version});
     changes.push_back({bookkeeping::keys::job(job.spec.id), std::nullopt, 0});
-    changes.push_back(
-        {bookkeeping::keys::final(job.spec.id), bookkeeping::finalValue(job.cancelled), 0});
+    bookkeeping::FinalState state{job.cancelled, std::nullopt};
+    // Those that wait for it count their time from now on, also with a successor of this owner.
+    if (context_.upgradeComplete(ledger)) state.at = context_.timers.wallNow();
+    changes.push_back({bookkeeping::keys::final(job.spec.id), bookkeeping::finalValue(state), 0});
     for (const auto& slice : job.slices) {
         if (slice.version == 0) continue;
         const auto key = bookkeeping::keys::slice(job.spec.id, slice.index);
@@ -60,7 +93,7 @@
             leftovers_.push_back(key);
     }
     batch.bytes += bytesPerChange * 2;
-    batch.finals.push_back({job.spec.id, job.cancelled});
+    batch.finals.push_back({job.spec.id, state});
     job.finishing = true;
 }
 
@@ -137,12 +170,8 @@
     for (auto& [id, job] : ledger.jobs) {
         if (full(batch)) return;
         if (job.finishing || batch.jobs.contains(id)) continue;
-        // A cancelled job ends when the last of its tasks is proved gone. Claims by other
-        // parts are known up to `applied`; later ones fail on the job's version.
-        const bool over =
-            job.cancelled ? !job.anyClaim() && ledger.applied >= job.version : job.complete();
-        if (job.part == part && over) {
-            addFinal(batch, job);
+        if (job.part == part && over(ledger, job)) {
+            addFinal(batch, ledger, job);
             continue;
         }
         for (const auto& slice : job.slices) {
@@ -160,6 +189,7 @@
     Batch batch;
     {
         auto ledger = context_.ledger.lock();
+        addCancellations(batch, *ledger, part);
         addPushes(batch, *ledger, part);
         addJobs(batch, *ledger, part);
     }
@@ -232,12 +262,17 @@
     if (result == CommitResult::rejected) noteRejected(part, batch);
     {
         auto ledger = context_.ledger.lock();
-        for (const auto& [id, cancelled] : batch.finals) {
+        if (result == CommitResult::done)
+            for (const auto& change : batch.cancellations)
+                bookkeeping::applyEvent(*ledger, {change.key, change.value, revision},
+                                        context_.now());
+        for (const auto& [id, state] : batch.finals) {
             if (Job* job = ledger->job(id)) job->finishing = false;
             if (result != CommitResult::done) continue;
-            spdlog::debug("job {}: {}", id, cancelled ? "cancelled" : "done");
+            spdlog::debug("job {}: {}", id, state.cancelled ? "cancelled" : "done");
+            ledger->dependencies.noteFinal(id, state);
             ledger->dropJob(id);
-            onFinal(id, cancelled);
+            onFinal(id, state.cancelled);
         }
         for (const auto& written : batch.slices) {
             if (ledger->job(written.job) == nullptr) continue;
@@ -249,6 +284,7 @@
     }
     for (const auto& written : batch.slices)
         if (written.push) written.push->done(result == CommitResult::done);
+    if (result == CommitResult::done && !batch.cancellations.empty()) onCancelled();
     if (!machines.empty()) onDurable(machines);
     if (result == CommitResult::done) flush(part);
 }
--- a/src/coordination/recorder.h
+++ b/src/coordination/recorder.h
@@ -32,6 +32,8 @@
     // A job has reached its end, durably.
     std::function<void(const std::string& job, bool cancelled)> onFinal = [](const std::string&,
                                                                              bool) {};
+    // Jobs that needed a cancelled one are cancelled now, durably.
+    std::function<void()> onCancelled = [] {};
     // Claims on these machines have become durable: their starts may be sent.
     std::function<void(const std::set<std::string>& machines)> onDurable =
         [](const std::set<std::string>&) {};
@@ -49,19 +51,23 @@
     };
     struct WrittenFinal {
         std::string job;
-        bool cancelled = false;
+        bookkeeping::FinalState state;
     };
     struct Batch {
         protocol::Transaction transaction;
         std::vector<WrittenFinal> finals;
+        std::vector<protocol::Change> cancellations;  // of jobs that need a cancelled one
         std::vector<WrittenSlice> slices;
         std::size_t bytes = 0;
         std::set<std::string> jobs;  // with a condition already
     };
 
+    void addCancellations(Batch& batch, Ledger& ledger, std::uint32_t part);
     void addPushes(Batch& batch, Ledger& ledger, std::uint32_t part);
     void addJobs(Batch& batch, Ledger& ledger, std::uint32_t part);
-    void addFinal(Batch& batch, Job& job);
+    void addFinal(Batch& batch, const Ledger& ledger, Job& job);
+    // Whether the job has ended and its live record may go.
+    [[nodiscard]] static bool over(Ledger& ledger, const Job& job);
     // Whether there was room for it.
     bool addSlice(Batch& batch, Job& job, const Slice& slice, std::optional<SlicePush> push);
     [[nodiscard]] std::vector<std::uint32_t> cutsToFit(const Slice& slice) const;
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -287,8 +287,7 @@
 }
 
 bool Reports::startable(const Ledger& ledger, const Job& job, const Claim& claim) {
-    if (!claim.durable || claim.giveUp || claim.stopGrace || ledger.calledOff(job) || job.finishing)
-        return false;
+    if (!claim.durable || claim.giveUp || claim.stopGrace || !ledger.schedulable(job)) return false;
     if (job.spec.kind != protocol::JobKind::gang) return true;
     // A gang is started only when every task has its durable place.
     std::size_t placed = 0;
--- a/src/coordination/shares.cpp
+++ b/src/coordination/shares.cpp
@@ -56,7 +56,7 @@
         std::any_of(ledger->jobs.begin(), ledger->jobs.end(), [&](const auto& entry) {
             const Job& other = entry.second;
             return &other != job && other.part == ask.lender && other.spec.team == team->name &&
-                   !other.cancelled && !other.finishing &&
+                   ledger->schedulable(other) &&
                    other.claimedTasks() + other.doneTasks() < other.spec.tasks &&
                    placement_.before(other, *job);
         });
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <set>
 
 #include "protocol/names.h"
 
@@ -129,6 +130,24 @@
         [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_'; });
 }
 
+namespace {
+
+void readPredecessors(FieldReader& read, JobSpec& spec) {
+    const Json* list = read.find(wire::predecessors);
+    if (list == nullptr) return;
+    if (!list->is_array()) return read.fail(wire::predecessors);
+    std::set<std::string> named;
+    for (const auto& entry : *list) {
+        if (!entry.is_string() || !validJobId(entry.get_ref<const std::string&>()) ||
+            entry.get_ref<const std::string&>() == spec.id)
+            return read.fail(wire::predecessors);
+        if (named.insert(entry.get<std::string>()).second)
+            spec.predecessors.push_back(entry.get<std::string>());
+    }
+}
+
+}  // namespace
+
 std::variant<JobSpec, std::string> parseJobSpec(const Json& body) {
     if (!body.is_object()) return std::string("not a map");
     FieldReader read(body);
@@ -162,6 +181,7 @@
     spec.checkpoint = Seconds(read.amount(wire::checkpoint));
     spec.save = Seconds(read.amount(wire::save));
     if (read.find(wire::deadline) != nullptr) spec.deadline = Seconds(read.amount(wire::deadline));
+    readPredecessors(read, spec);
     if (!read.error().empty()) return read.error();
     return spec;
 }
@@ -187,6 +207,7 @@
     if (spec.types) out[wire::types] = *spec.types;
     if (spec.zone) out[wire::zone] = *spec.zone;
     if (spec.deadline) out[wire::deadline] = spec.deadline->count();
+    if (!spec.predecessors.empty()) out[wire::predecessors] = spec.predecessors;
     return out;
 }
 
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -60,6 +60,7 @@
     Seconds checkpoint{};
     Seconds save{};
     std::optional<Seconds> deadline;
+    std::vector<std::string> predecessors;  // jobs that have to be done first, each named once
 };
 
 // The description, or what is wrong with it.
--- a/src/protocol/names.h
+++ b/src/protocol/names.h
@@ -27,6 +27,7 @@
 inline constexpr auto checkpoint = "rest_s";
 inline constexpr auto save = "cache_s";
 inline constexpr auto deadline = "dusk_s";
+inline constexpr auto predecessors = "follows";
 inline constexpr auto state = "stance";
 inline constexpr auto done = "done";
 inline constexpr auto running = "running";
--- a/src/protocol/peer_codec.cpp
+++ b/src/protocol/peer_codec.cpp
@@ -86,6 +86,11 @@
     visit(m.job);
 }
 
+template <typename Visit>
+void fields(JobEnded& m, Visit visit) {
+    visit(m.job);
+}
+
 template <std::size_t Index = 0>
 bool readKind(std::uint64_t kind, VarintReader& in, PeerMessage& out) {
     if constexpr (Index < std::variant_size_v<PeerMessage>) {
--- a/src/protocol/peer_codec.h
+++ b/src/protocol/peer_codec.h
@@ -96,7 +96,15 @@
     std::string job;
 };
 
-using PeerMessage = std::variant<Status, MoveAsk, MoveAnswer, NoCapacity, LoanAsk, ShareAsk>;
+// "This job has ended": the final record, which says how, may be read now. Unknown to the first
+// version, which drops it.
+struct JobEnded {
+    std::string job;
+};
+
+// A message's place in this list is its kind on the wire: new ones come last.
+using PeerMessage =
+    std::variant<Status, MoveAsk, MoveAnswer, NoCapacity, LoanAsk, ShareAsk, JobEnded>;
 
 struct PeerEnvelope {
     std::string sender;
--- a/src/protocol/state_client.cpp
+++ b/src/protocol/state_client.cpp
@@ -201,27 +201,27 @@
                       }});
 }
 
-void StateClient::read(const std::string& key, std::function<void(ReadAnswer)> done) {
-    enqueue(Urgency::read,
-            {{"GET", std::string(wire::pathKeys) + "/" + key, {}},
-             requestTimeout,
-             0,
-             {},
-             [done = std::move(done)](std::optional<transport::HttpResponse> response) {
-                 ReadAnswer answer;
-                 answer.result = plainResult(response);
-                 const auto map = response ? decodeCbor(response->body) : std::nullopt;
-                 if (answer.result == StateResult::ok) {
-                     if (map)
-                         answer.items.push_back(parseItem(*map));
-                     else
-                         answer.result = StateResult::unknown;
-                 } else if (response && response->status == 404) {
-                     answer.result = StateResult::ok;
-                     if (map) answer.revision = countOf(*map, wire::revision);
-                 }
-                 done(std::move(answer));
-             }});
+void StateClient::read(const std::string& key, std::function<void(ReadAnswer)> done,
+                       Urgency urgency) {
+    enqueue(urgency, {{"GET", std::string(wire::pathKeys) + "/" + key, {}},
+                      requestTimeout,
+                      0,
+                      {},
+                      [done = std::move(done)](std::optional<transport::HttpResponse> response) {
+                          ReadAnswer answer;
+                          answer.result = plainResult(response);
+                          const auto map = response ? decodeCbor(response->body) : std::nullopt;
+                          if (answer.result == StateResult::ok) {
+                              if (map)
+                                  answer.items.push_back(parseItem(*map));
+                              else
+                                  answer.result = StateResult::unknown;
+                          } else if (response && response->status == 404) {
+                              answer.result = StateResult::ok;
+                              if (map) answer.revision = countOf(*map, wire::revision);
+                          }
+                          done(std::move(answer));
+                      }});
 }
 
 void StateClient::readRange(const std::string& prefix, const std::string& after,
--- a/src/protocol/state_client.h
+++ b/src/protocol/state_client.h
@@ -118,7 +118,8 @@
 
     void transact(Transaction transaction, Urgency urgency,
                   std::function<void(TransactionAnswer)> done);
-    void read(const std::string& key, std::function<void(ReadAnswer)> done);
+    void read(const std::string& key, std::function<void(ReadAnswer)> done,
+              Urgency urgency = Urgency::read);
     void readRange(const std::string& prefix, const std::string& after,
                    std::function<void(ReadAnswer)> done);
     void follow(const std::string& prefix, std::uint64_t since, transport::Duration wait,
--- a/tests/unit/records_test.cpp
+++ b/tests/unit/records_test.cpp
@@ -131,9 +131,7 @@
     ASSERT_EQ(pieces.size(), 3U);
     // Both orders: the records of a division have one revision.
     for (const bool backwards : {false, true}) {
-        Ledger other;
-        std::swap(other.jobs, ledger.jobs);
-        std::swap(other.machines, ledger.machines);
+        ledger.clearRecords();
         ledger.rebuildIndexes();
         put(keys::job("run-1"), jobValue(job), 5);
         putMachine("m-1", 6);
--- a/tests/unit/shared_formats_test.cpp
+++ b/tests/unit/shared_formats_test.cpp
@@ -95,8 +95,9 @@
     EXPECT_EQ(ledger.lastTerm, 11U);
     EXPECT_EQ(catalogValue(ledger.catalog).dump(), catalogText);
     EXPECT_TRUE(ledger.nodes.contains("spoke-1"));
-    EXPECT_TRUE(finalIsCancelled(Json::parse(finalText)));
-    EXPECT_FALSE(finalIsCancelled(Json::parse(R"({"cancelled":false})")));
+    EXPECT_TRUE(readFinal(Json::parse(finalText)).cancelled);
+    EXPECT_EQ(finalValue({true, std::nullopt}).dump(), finalText);
+    EXPECT_FALSE(readFinal(Json::parse(R"({"cancelled":false})")).cancelled);
 }
 
 // What production does with what it does not know. The new version relies on it.
@@ -120,7 +121,7 @@
     put("live/slice/run-000412/1", value.dump(), 6);
     EXPECT_EQ(jobValue(*ledger.job("run-000412")).dump(), jobText);
     EXPECT_EQ(sliceValue(ledger.job("run-000412")->slices[1]).dump(), sliceText);
-    EXPECT_TRUE(finalIsCancelled(Json::parse(R"({"cancelled":true,"at":1700000000123})")));
+    EXPECT_TRUE(readFinal(Json::parse(R"({"cancelled":true,"at":1700000000123})")).cancelled);
 }
 
 TEST_F(SharedRecords, SlicesBeyondThoseOfTheJobAreIgnored) {
