--- a/tests/sim/scenario_main.cpp
+++ b/tests/sim/scenario_main.cpp
@@ -39,6 +39,14 @@
     [[nodiscard]] double numberAt(std::size_t index) const { return std::stod(at(index)); }
 };
 
+// "a,b" as a list.
+std::vector<std::string> names(const std::string& text) {
+    std::vector<std::string> list;
+    std::istringstream in(text);
+    for (std::string name; std::getline(in, name, ',');) list.push_back(name);
+    return list;
+}
+
 protocol::JobSpec jobFrom(const Line& line, std::size_t from) {
     protocol::JobSpec spec;
     spec.id = line.at(from);
@@ -65,6 +73,8 @@
     spec.estimate = Time(line.number("runs", 10));
     spec.checkpoint = Time(line.number("checkpoint", 0));
     spec.save = Time(line.number("save", 1));
+    if (line.has("deadline")) spec.deadline = Time(line.number("deadline"));
+    if (line.has("after")) spec.predecessors = names(line.text("after"));
     return spec;
 }
 
@@ -155,6 +165,22 @@
         }
     }
 
+    // A first job ID-0-0, and behind it so many chains side by side: ID-1-0, ID-2-0 and so on.
+    static void submitChains(sim::World& world, const Line& line) {
+        const int stages = static_cast<int>(line.number("stages", 3));
+        const int width = static_cast<int>(line.number("width", 1));
+        const auto name = [&line](int stage, int chain) {
+            return line.at(3) + "-" + std::to_string(stage) + "-" + std::to_string(chain);
+        };
+        for (int stage = 0; stage < stages; ++stage)
+            for (int chain = 0; chain < (stage == 0 ? 1 : width); ++chain) {
+                auto job = jobFrom(line, 3);
+                job.id = name(stage, chain);
+                if (stage > 0) job.predecessors = {name(stage - 1, stage == 1 ? 0 : chain)};
+                world.submit(job, Time(line.number("runs", 10)), false);
+            }
+    }
+
     static void act(sim::World& world, const Line& line) {
         const auto& word = line.at(2);
         const auto length = [&](std::size_t i) { return Time(line.numberAt(i)); };
@@ -169,6 +195,11 @@
                 if (count > 1) job.id += "-" + std::to_string(i);
                 world.submit(job, Time(line.number("runs", 10)), line.has("faulty"));
             }
+        } else if (word == "chains") {
+            submitChains(world, line);
+        } else if (word == "frame-trouble") {
+            world.troubleFrames(line.number("lost"), line.number("copied"),
+                                Time(line.number("latest")), Time(line.number("for")));
         } else if (word == "cancel") {
             world.cancel(line.at(3));
         } else if (word == "ask") {
@@ -250,6 +281,11 @@
             const auto told = world.lastTold(line.at(2));
             if (told != line.at(3))
                 failures.push_back(line.at(2) + " was told " + told + ", not " + line.at(3));
+        } else if (word == "told-by") {
+            const auto when = world.firstTold(line.at(2), line.at(3));
+            if (!when || *when > Time(line.numberAt(4)))
+                failures.push_back(line.at(2) + " was not told " + line.at(3) + " by " +
+                                   line.at(4));
         } else if (word == "starts-at-most") {
             if (static_cast<double>(world.checker().starts()) > line.numberAt(2))
                 failures.push_back(std::to_string(world.checker().starts()) + " starts");
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -57,6 +57,8 @@
 
     // Users
     void submit(const protocol::JobSpec& spec, Time runs, bool faulty);
+    // Any body, once, to any node that serves; `done` gets the status, 0 if there was no answer.
+    void post(const protocol::Json& body, std::function<void(int status, std::string state)> done);
     void cancel(const std::string& job);
     void askAbout(const std::string& job);
 
@@ -111,6 +113,15 @@
     // Submissions are repeated, done jobs called off, and jobs sent that lack a field or fit
     // nowhere.
     void oddRequests(Time length);
+    // Of the frames between nodes, these shares are lost, and handed over once more up to so much
+    // later.
+    void troubleFrames(double lost, double copied, Time latest, Time length) {
+        lostFrames_ = lost;
+        copiedFrames_ = copied;
+        latestFrame_ = latest;
+        framesUntil_ = now_ + length;
+        checker_.troubledUntil(framesUntil_);
+    }
     void cutZone(const std::string& zone, Time length, bool hold);
     void partZones(const std::string& one, const std::string& other, Time length, bool hold);
     void refusePeers(Time length);
@@ -119,6 +130,9 @@
 
     [[nodiscard]] Checker& checker() { return checker_; }
     [[nodiscard]] std::string lastTold(const std::string& job) const;
+    // When the job's user was first told that it is in this state.
+    [[nodiscard]] std::optional<Time> firstTold(const std::string& job,
+                                                const std::string& state) const;
     [[nodiscard]] std::size_t machinesUp() const;
     [[nodiscard]] Time now() const { return now_; }
     [[nodiscard]] int nodeCount() const { return spec_.nodes; }
@@ -139,6 +153,7 @@
         std::map<std::uint32_t, Time> saved;
         std::set<std::uint32_t> done;
         std::string told;
+        std::map<std::string, Time> firstTold;  // by state
         bool over = false;
     };
     struct Record {
@@ -193,6 +208,9 @@
     [[nodiscard]] protocol::Json reportBody(Worker& worker) const;
     void gangStep(const std::string& job);
     void poll(const std::string& job);
+    void noteTold(const std::string& job, const std::string& state);
+    void submitWhenNamed(const std::string& job);
+    void sendFrame(const std::string& from, const std::string& peer, std::string payload);
     void sendSubmit(const std::string& job, Time first);
     int someNode();
 
@@ -228,6 +246,10 @@
     Time latestRepeat_{};
     double lateShare_ = 0;
     Time lateUntil_{};
+    double lostFrames_ = 0;
+    double copiedFrames_ = 0;
+    Time latestFrame_{};
+    Time framesUntil_{};
     Time stateSlow_{};
     Time stateSlowUntil_{};
     double cancelAtEndShare_ = 0;
--- a/tests/unit/peer_codec_test.cpp
+++ b/tests/unit/peer_codec_test.cpp
@@ -54,6 +54,7 @@
     EXPECT_EQ(share.lender, 3U);
     EXPECT_EQ(share.borrower, 0U);
     EXPECT_EQ(share.job, "run-3");
+    EXPECT_EQ(roundTrip(JobEnded{"run-4"}).job, "run-4");
 }
 
 TEST(PeerCodec, RefusesOtherVersionsKindsAndTrailingBytes) {
