--- a/src/bookkeeping/job.cpp
+++ b/src/bookkeeping/job.cpp
@@ -124,6 +124,7 @@
         piece.divided = slice.divided || !cuts.empty();
         piece.version = i == 0 ? slice.version : 0;
         piece.dirty = slice.dirty;
+        piece.dirtySince = slice.dirtySince;
         pieces.push_back(std::move(piece));
     }
     return pieces;
--- a/src/bookkeeping/job.h
+++ b/src/bookkeeping/job.h
@@ -55,7 +55,8 @@
     bool divided = false;       // its range is not the one its index gives: the record names it
     std::uint64_t version = 0;  // 0: no record; as in the job's record
     bool dirty = false;
-    std::optional<TaskRange> leaving;  // being pushed to a peer: not to be placed here
+    std::optional<SteadyTime> dirtySince;  // as the recorder saw it
+    std::optional<TaskRange> leaving;      // being pushed to a peer: not to be placed here
 
     [[nodiscard]] std::uint32_t size() const { return static_cast<std::uint32_t>(done.size()); }
     [[nodiscard]] TaskRange range() const { return {first, size()}; }
--- a/src/coordination/recorder.cpp
+++ b/src/coordination/recorder.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t leastChanges = 2;  // the end of a job drops one record and writes another
 constexpr std::size_t leastValueBytes = 512;
 constexpr auto pauseAfterRejection = 500ms;
+constexpr auto patiencePerRank = 1s;  // a slice waits so much longer for each step down in priority
 
 bool allUnstarted(const Slice& slice, const bookkeeping::TaskRange& range) {
     for (auto task = range.first; task < range.end(); ++task)
@@ -166,22 +167,45 @@
     }
 }
 
-void Recorder::addJobs(Batch& batch, Ledger& ledger, std::uint32_t part) {
+void Recorder::addFinals(Batch& batch, Ledger& ledger, std::uint32_t part) {
     for (auto& [id, job] : ledger.jobs) {
         if (full(batch)) return;
-        if (job.finishing || batch.jobs.contains(id)) continue;
-        if (job.part == part && over(ledger, job)) {
+        if (job.part == part && !job.finishing && !batch.jobs.contains(id) && over(ledger, job))
             addFinal(batch, ledger, job);
-            continue;
-        }
-        for (const auto& slice : job.slices) {
-            if (full(batch)) return;
+    }
+}
+
+void Recorder::addSlices(Batch& batch, Ledger& ledger, std::uint32_t part) {
+    struct Dirty {
+        SteadyTime due{};
+        Job* job = nullptr;
+        const Slice* slice = nullptr;
+    };
+    const auto now = context_.now();
+    std::vector<Dirty> all;
+    for (auto& [id, job] : ledger.jobs) {
+        if (job.finishing || batch.jobs.contains(id)) continue;
+        for (auto& slice : job.slices) {
             if (!slice.dirty || slice.part != part) continue;
-            if (!addSlice(batch, job, slice, std::nullopt)) return;
-            // What it adds has to be known before another is divided.
-            if (!batch.slices.back().cuts.empty()) break;
+            if (!slice.dirtySince) slice.dirtySince = now;
+            const auto patience = patiencePerRank * static_cast<int>(job.priority);
+            all.push_back({*slice.dirtySince + patience, &job, &slice});
         }
     }
+    // What has waited longest, urgent jobs before others. In the order of their names some slices
+    // waited for a minute and more while those of earlier names were written again and again.
+    std::sort(all.begin(), all.end(), [](const Dirty& one, const Dirty& other) {
+        return std::tie(one.due, one.job->spec.id, one.slice->index) <
+               std::tie(other.due, other.job->spec.id, other.slice->index);
+    });
+    std::set<const Job*> divided;
+    for (const auto& [due, job, slice] : all) {
+        if (full(batch)) return;
+        // What a division adds has to be known before another slice of the job is divided.
+        if (divided.contains(job)) continue;
+        if (!addSlice(batch, *job, *slice, std::nullopt)) return;
+        if (!batch.slices.back().cuts.empty()) divided.insert(job);
+    }
 }
 
 void Recorder::flush(std::uint32_t part) {
@@ -190,8 +214,9 @@
     {
         auto ledger = context_.ledger.lock();
         addCancellations(batch, *ledger, part);
+        addFinals(batch, *ledger, part);
         addPushes(batch, *ledger, part);
-        addJobs(batch, *ledger, part);
+        addSlices(batch, *ledger, part);
     }
     if (batch.transaction.changes.empty()) return sweepLeftovers(part);
     auto transaction = batch.transaction;
@@ -222,6 +247,7 @@
             piece.leaving = slice.leaving;
         piece.version = revision;
         piece.dirty = value != bookkeeping::sliceValue(piece);
+        piece.dirtySince.reset();
         for (auto& claim : piece.claims) {
             // Only what this transaction carried; a later claim waits for the next.
             for (const auto& entry : value["claims"])
--- a/src/coordination/recorder.h
+++ b/src/coordination/recorder.h
@@ -64,7 +64,8 @@
 
     void addCancellations(Batch& batch, Ledger& ledger, std::uint32_t part);
     void addPushes(Batch& batch, Ledger& ledger, std::uint32_t part);
-    void addJobs(Batch& batch, Ledger& ledger, std::uint32_t part);
+    void addFinals(Batch& batch, Ledger& ledger, std::uint32_t part);
+    void addSlices(Batch& batch, Ledger& ledger, std::uint32_t part);
     void addFinal(Batch& batch, const Ledger& ledger, Job& job);
     // Whether the job has ended and its live record may go.
     [[nodiscard]] static bool over(Ledger& ledger, const Job& job);
