--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -294,7 +294,7 @@
     tryCancel(id, 0, limited(std::move(reply)));
 }
 
-void Intake::tryCancel(const std::string& id, int tries, HttpReply reply) {
+void Intake::tryCancel(const std::string& id, int tries, const HttpReply& reply) {
     lookup_.find(id, [this, id, tries, reply](JobStanding standing) {
         if (standing != JobStanding::active) return tell(id, standing, true, reply);
         protocol::Transaction transaction;
--- a/src/coordination/intake.h
+++ b/src/coordination/intake.h
@@ -64,7 +64,7 @@
     void tell(const std::string& id, JobStanding standing, bool brief,
               const transport::HttpReply& reply);
     void tellKnown(const std::string& id, const transport::HttpReply& reply);
-    void tryCancel(const std::string& id, int tries, transport::HttpReply reply);
+    void tryCancel(const std::string& id, int tries, const transport::HttpReply& reply);
     transport::HttpReply limited(transport::HttpReply reply);
     [[nodiscard]] std::optional<transport::HttpResponse> check(const protocol::JobSpec& spec) const;
     // Whether the job's record, and the conditions for creating it, are within the limits.
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -208,6 +208,9 @@
             {bookkeeping::keys::node(name), known == ledger->nodes.end() ? 0 : known->second});
         // While we were out, a peer may have taken our parts. Answering their workers once more
         // would prolong leases that the successor counts down.
+        // Of very many parts those that don't fit are taken anew.
+        while (taken_.size() + 1 > context_.settings.transactionConditions())
+            taken_.erase(std::prev(taken_.end()));
         for (const auto& [part, term] : taken_)
             transaction.conditions.push_back(
                 {bookkeeping::keys::part(part), ledger->parts[part].version});
--- a/src/coordination/moves.cpp
+++ b/src/coordination/moves.cpp
@@ -171,10 +171,12 @@
             if (room > 0)
                 order.emplace_back(room * (1 + ledger->cachedShare(job.spec, other)), other);
         }
-        if (!wholeJob && context_.upgradeComplete(*ledger) && mostRoom < next.range.count) {
+        if (!job.undivided() && context_.upgradeComplete(*ledger) && mostRoom < next.tasks) {
             // The last tasks only, as many as a peer has room for.
-            next.range = {next.range.end() - mostRoom, mostRoom};
-            next.tasks = mostRoom;
+            const auto count = std::min(mostRoom, next.range.count);
+            next.wholeJob = false;
+            next.range = {next.range.end() - count, count};
+            next.tasks = count;
         }
     }
     std::sort(order.rbegin(), order.rend());
--- a/src/coordination/triggers.cpp
+++ b/src/coordination/triggers.cpp
@@ -17,26 +17,32 @@
 
 }  // namespace
 
-bool Triggers::concernsUs(Ledger& ledger, const std::string& predecessor) {
+bool Triggers::concerns(Ledger& ledger, const std::string& predecessor, const Parts& parts) {
     const auto& successors = ledger.dependencies.successors(predecessor);
     return std::any_of(successors.begin(), successors.end(), [&](const std::string& id) {
         const Job* job = ledger.job(id);
         if (job == nullptr || job->cancelled) return false;
-        return membership_.active(job->part) ||
+        return parts.contains(job->part) ||
                std::any_of(job->slices.begin(), job->slices.end(),
-                           [this](const Slice& slice) { return membership_.active(slice.part); });
+                           [&parts](const Slice& slice) { return parts.contains(slice.part); });
     });
 }
 
+Triggers::Parts Triggers::ownParts() {
+    const auto parts = membership_.activeParts();
+    return {parts.begin(), parts.end()};
+}
+
 void Triggers::review() {
     const auto now = context_.now();
     std::erase_if(notBefore_, [now](const auto& entry) { return entry.second <= now; });
     std::vector<std::string> wanted;
+    const auto parts = ownParts();
     {
         auto ledger = context_.ledger.lock();
         for (const auto& id : ledger->dependencies.unresolved()) {
             if (reading_.size() + wanted.size() >= mostReads) break;
-            if (!reading_.contains(id) && !notBefore_.contains(id) && concernsUs(*ledger, id))
+            if (!reading_.contains(id) && !notBefore_.contains(id) && concerns(*ledger, id, parts))
                 wanted.push_back(id);
         }
     }
@@ -81,7 +87,7 @@
     {
         auto ledger = context_.ledger.lock();
         if (ledger->dependencies.finalKnown(message.job) || reading_.contains(message.job) ||
-            reading_.size() >= mostReads || !concernsUs(*ledger, message.job))
+            reading_.size() >= mostReads || !concerns(*ledger, message.job, ownParts()))
             return;
     }
     read(message.job);
--- a/src/coordination/triggers.h
+++ b/src/coordination/triggers.h
@@ -27,8 +27,12 @@
     std::function<void()> onRead = [] {};
 
   private:
-    // Whether a job that waits for it has its home or a slice in a part of ours.
-    [[nodiscard]] bool concernsUs(Ledger& ledger, const std::string& predecessor);
+    using Parts = std::set<std::uint32_t>;
+
+    // Whether a job that waits for it has its home or a slice in one of these parts.
+    [[nodiscard]] static bool concerns(Ledger& ledger, const std::string& predecessor,
+                                       const Parts& parts);
+    [[nodiscard]] Parts ownParts();
     void read(const std::string& predecessor);
 
     Context& context_;
