Ends that nobody waits for are recorded after claims; linter findings mended

Workers go on reporting an end until it is recorded, so that it may wait.

A comparison operator it takes for something else has the one suppression.

--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -38,7 +38,8 @@
         std::string type;
         std::string zone;
         bool spot = false;
-        auto operator<=>(const Kind&) const = default;
+        // The linter takes the operator for a comparison with zero.
+        auto operator<=>(const Kind&) const = default;  // NOLINT(modernize-use-nullptr)
     };
     struct Found {
         protocol::CloudMachine machine;
--- a/src/coordination/openings.cpp
+++ b/src/coordination/openings.cpp
@@ -127,7 +127,8 @@
 
 Placement::Rivals Placement::largestOfClasses(const Ledger& ledger) {
     Rivals largest;
-    for (const auto& [id, job] : ledger.jobs) {
+    for (const auto& entry : ledger.jobs) {
+        const Job& job = entry.second;
         if (!ledger.schedulable(job)) continue;
         const auto same = std::find_if(largest.begin(), largest.end(), [&](const Job* other) {
             return other->spec.jobClass == job.spec.jobClass;
--- a/src/coordination/recorder.cpp
+++ b/src/coordination/recorder.cpp
@@ -19,8 +19,17 @@
 constexpr std::size_t leastChanges = 2;  // the end of a job drops one record and writes another
 constexpr std::size_t leastValueBytes = 512;
 constexpr auto pauseAfterRejection = 500ms;
+// Under the write limit; the more ends one record then tells of, the fewer are written.
+constexpr auto endsPatience = 10s;
 constexpr auto patiencePerRank = 1s;  // a slice waits so much longer for each step down in priority
 
+// Starts wait for claims to become durable, and a job's end for its last tasks. Nobody waits for
+// the other ends: until they are recorded their workers go on reporting them.
+bool somebodyWaitsFor(const Slice& slice) {
+    return slice.complete() || std::any_of(slice.claims.begin(), slice.claims.end(),
+                                           [](const Claim& claim) { return !claim.durable; });
+}
+
 bool allUnstarted(const Slice& slice, const bookkeeping::TaskRange& range) {
     for (auto task = range.first; task < range.end(); ++task)
         if (!slice.unstarted(task)) return false;
@@ -188,7 +197,8 @@
         for (auto& slice : job.slices) {
             if (!slice.dirty || slice.part != part) continue;
             if (!slice.dirtySince) slice.dirtySince = now;
-            const auto patience = patiencePerRank * static_cast<int>(job.priority);
+            const Duration patience = patiencePerRank * static_cast<int>(job.priority) +
+                                      (somebodyWaitsFor(slice) ? Duration::zero() : endsPatience);
             all.push_back({*slice.dirtySince + patience, &job, &slice});
         }
     }
--- a/src/protocol/cbor.cpp
+++ b/src/protocol/cbor.cpp
@@ -86,7 +86,7 @@
     return value;
 }
 
-std::string textOf(const Json& map, const char* field, std::string fallback) {
+std::string textOf(const Json& map, const char* field, const std::string& fallback) {
     const Json* found = member(map, field);
     return found != nullptr && found->is_string() ? found->get<std::string>() : fallback;
 }
--- a/src/protocol/cbor.h
+++ b/src/protocol/cbor.h
@@ -14,7 +14,7 @@
 std::optional<Json> decodeCbor(const std::string& bytes);
 
 // Readers that fall back instead of failing: for messages from components we trust to be sane.
-std::string textOf(const Json& map, const char* field, std::string fallback = {});
+std::string textOf(const Json& map, const char* field, const std::string& fallback = {});
 double numberOf(const Json& map, const char* field, double fallback = 0.0);
 std::uint64_t countOf(const Json& map, const char* field, std::uint64_t fallback = 0);
 bool flagOf(const Json& map, const char* field, bool fallback = false);
--- a/src/protocol/cloud_client.cpp
+++ b/src/protocol/cloud_client.cpp
@@ -54,7 +54,7 @@
 
 void CloudClient::catalog(std::function<void(std::optional<std::vector<MachineType>>)> done) {
     enqueue({"GET", wire::pathCatalog, {}},
-            [done = std::move(done)](std::optional<transport::HttpResponse> response) {
+            [done = std::move(done)](const std::optional<transport::HttpResponse>& response) {
                 const auto body = okBody(response);
                 if (!body) return done(std::nullopt);
                 done(parseCatalog(*body));
@@ -67,7 +67,7 @@
         std::string(wire::pathRentals) + "?" + wire::queryMost + "=" + std::to_string(listPage);
     if (!after.empty()) path += std::string("&") + wire::querySince + "=" + after;
     enqueue({"GET", std::move(path), {}},
-            [done = std::move(done)](std::optional<transport::HttpResponse> response) {
+            [done = std::move(done)](const std::optional<transport::HttpResponse>& response) {
                 const auto body = okBody(response);
                 if (!body) return done(std::nullopt);
                 done(parseCloudPage(*body));
--- a/src/protocol/state_client.cpp
+++ b/src/protocol/state_client.cpp
@@ -304,7 +304,7 @@
          holdTimeout,
          0,
          {},
-         [done = std::move(done)](std::optional<transport::HttpResponse> response) {
+         [done = std::move(done)](const std::optional<transport::HttpResponse>& response) {
              done(plainResult(response));
          }});
 }
--- a/src/transport/frame_link.cpp
+++ b/src/transport/frame_link.cpp
@@ -46,9 +46,9 @@
 };
 
 FrameLink::FrameLink(Loop& loop, const std::string& address,
-                     std::map<std::string, std::string> peers, OnFrame onFrame)
+                     const std::map<std::string, std::string>& peers, OnFrame onFrame)
     : loop_(loop), listener_(listenOn(address)), onFrame_(std::move(onFrame)) {
-    for (auto& [name, where] : peers) peers_[name].address = where;
+    for (const auto& [name, where] : peers) peers_[name].address = where;
     loop_.watch(listener_.fd(), EPOLLIN, [this](std::uint32_t) { acceptAll(); });
 }
 
--- a/src/transport/frame_link.h
+++ b/src/transport/frame_link.h
@@ -17,8 +17,8 @@
 
     static constexpr std::size_t maxFrame = std::size_t{64} * 1024;
 
-    FrameLink(Loop& loop, const std::string& address, std::map<std::string, std::string> peers,
-              OnFrame onFrame);
+    FrameLink(Loop& loop, const std::string& address,
+              const std::map<std::string, std::string>& peers, OnFrame onFrame);
     ~FrameLink();
     FrameLink(const FrameLink&) = delete;
     FrameLink& operator=(const FrameLink&) = delete;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -156,7 +156,7 @@
     return false;
 }
 
-void HttpClient::call(const std::string& address, HttpRequest request, Duration timeout,
+void HttpClient::call(const std::string& address, const HttpRequest& request, Duration timeout,
                       HttpDone done) {
     const auto connection = take(address);
     if (!connection) {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -16,7 +16,8 @@
     HttpClient(Loop& loop, std::size_t maxConnections, std::set<std::string> always)
         : loop_(loop), maxConnections_(maxConnections), always_(std::move(always)) {}
 
-    void call(const std::string& address, HttpRequest request, Duration timeout, HttpDone done);
+    void call(const std::string& address, const HttpRequest& request, Duration timeout,
+              HttpDone done);
 
   private:
     struct Connection;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -111,7 +111,7 @@
         busy = true;
         stream->pauseReading(true);
         const std::weak_ptr<Connection> weak = weak_from_this();
-        server->handler_(std::move(request), [weak](HttpResponse response) {
+        server->handler_(std::move(request), [weak](const HttpResponse& response) {
             const auto connection = weak.lock();
             if (connection && connection->busy) connection->respond(response);
         });
--- a/src/transport/tcp_network.h
+++ b/src/transport/tcp_network.h
@@ -9,13 +9,12 @@
 class TcpNetwork final : public Network {
   public:
     TcpNetwork(Loop& loop, HttpClient client, const std::string& peerAddress,
-               std::map<std::string, std::string> peers, FrameLink::OnFrame onFrame)
-        : client_(std::move(client)),
-          link_(loop, peerAddress, std::move(peers), std::move(onFrame)) {}
+               const std::map<std::string, std::string>& peers, FrameLink::OnFrame onFrame)
+        : client_(std::move(client)), link_(loop, peerAddress, peers, std::move(onFrame)) {}
 
     void call(const std::string& address, HttpRequest request, Duration timeout,
               HttpDone done) override {
-        client_.call(address, std::move(request), timeout, std::move(done));
+        client_.call(address, request, timeout, std::move(done));
     }
     void sendFrame(const std::string& peer, std::string payload) override {
         link_.send(peer, payload);
--- a/tests/sim/checker.cpp
+++ b/tests/sim/checker.cpp
@@ -1,5 +1,7 @@
 #include "sim/checker.h"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
 
 namespace fawnwheel::sim {
@@ -31,10 +33,11 @@
     if (!job.begunAt) job.begunAt = at;
     const auto name = id + "/" + std::to_string(task);
     for (const auto& predecessor : job.spec.predecessors)
-        if (!truthDone(predecessor)) breach("too_early", name + " before " + predecessor);
+        if (!truthDone(predecessor))
+            breach("too_early", fmt::format("{} before {}", name, predecessor));
     for (const auto& [machine, other] : job.on[task])
         if (machine != place.machine)
-            breach("ran_twice", name + " on " + machine + " and " + place.machine);
+            breach("ran_twice", fmt::format("{} on {} and {}", name, machine, place.machine));
     const auto& spec = job.spec;
     if ((spec.types &&
          std::find(spec.types->begin(), spec.types->end(), place.type) == spec.types->end()) ||
--- a/tests/sim/scenario_main.cpp
+++ b/tests/sim/scenario_main.cpp
@@ -1,5 +1,6 @@
 // Runs one scenario file: `scenario_runner FILE [SEEDS]`. The words of the files are described in
 // tests/scenarios/README.md.
+#include <spdlog/fmt/fmt.h>
 #include <spdlog/spdlog.h>
 
 #include <fstream>
@@ -115,7 +116,7 @@
             else if (word == "end")
                 end = Time(line.numberAt(1));
             else if (word == "at")
-                world.at(Time(line.numberAt(1)), [this, &world, line] { act(world, line); });
+                world.at(Time(line.numberAt(1)), [&world, line] { act(world, line); });
         }
         world.run(end);
         auto failures = world.checker().breaches();
@@ -224,9 +225,8 @@
             world.cut(line.at(3), line.at(4), length(6), line.has("hold"));
         } else if (word == "cut-workers") {
             for (int i = 0; i < 60; ++i) {
-                auto name = std::to_string(i);
-                name = "m-" + std::string(6 - name.size(), '0') + name;
-                world.cut("node-" + line.at(3), name, length(5), line.has("hold"));
+                world.cut("node-" + line.at(3), fmt::format("m-{:06}", i), length(5),
+                          line.has("hold"));
             }
         } else if (word == "hang") {
             world.hang(machine(3), length(5));
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -946,7 +946,8 @@
             for (auto& task : w->tasks)
                 if (task.job == job && task.placed)
                     attempts[task.attempt].emplace_back(w.get(), &task);
-    for (auto& [attempt, members] : attempts) {
+    for (auto& entry : attempts) {
+        auto& members = entry.second;
         const auto inState = [&members](const char* state) {
             return static_cast<std::size_t>(
                 std::count_if(members.begin(), members.end(),
@@ -1156,11 +1157,11 @@
         default:
             body[wire::tasks] = "three";
     }
-    sendBad(spec.id, std::move(body));
+    sendBad(spec.id, body);
     if (now_ + Time(1) < oddUntil_) at(now_ + Time(1), [this] { oddRequests(oddUntil_ - now_); });
 }
 
-void World::sendBad(const std::string& id, Json body) {
+void World::sendBad(const std::string& id, const Json& body) {
     checker_.submittedBad(id);
     request("users", nodes_[static_cast<std::size_t>(someNode())]->name,
             {"POST", wire::pathJobs, protocol::encodeCbor(body)}, Time(5),
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -202,7 +202,7 @@
     void stepWorker(Worker& worker);
     void watchWaiting();
     [[nodiscard]] bool couldStart(const std::string& job);
-    void sendBad(const std::string& job, protocol::Json body);
+    void sendBad(const std::string& job, const protocol::Json& body);
     void endTask(Worker& worker, Task& task, const char* cause, bool kept);
     void killAll(Worker& worker);
     [[nodiscard]] protocol::Json reportBody(Worker& worker) const;
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -55,9 +55,11 @@
 
 TEST(Http, OrdersLeaveTheStateServiceItsConnection) {
     Loop loop;
-    const HttpServer server(loop, stateAddress, 8, [](const HttpRequest& request, HttpReply reply) {
-        if (request.path == "/state") reply({200, {}, 0});  // others are never answered
-    });
+    const HttpServer server(loop, stateAddress, 8,
+                            [](const HttpRequest& request, const HttpReply& reply) {
+                                if (request.path == "/state")
+                                    reply({200, {}, 0});  // others are never answered
+                            });
     HttpClient client(loop, 2, {stateAddress});
     HttpClient bounded(loop, 2, {});
     int refused = 0;
