--- /dev/null
+++ b/tests/sim/world_cloud.cpp
@@ -0,0 +1,79 @@
+// The stand-in for the cloud.
+#include <algorithm>
+
+#include "sim/world_parts.h"
+
+namespace fawnwheel::sim {
+
+void World::cloudOutage(Time length) {
+    cloudBackAt_ = now_ + length;
+    checker_.troubledUntil(cloudBackAt_);
+}
+
+void World::serveCloud(const HttpRequest& request, const HttpReply& reply) {
+    if (now_ < cloudBackAt_) return reply(answer(503, {{"error", "trouble"}}));
+    const auto path = request.path.substr(0, request.path.find('?'));
+    const auto body = protocol::decodeCbor(request.body);
+    if (path == wire::pathCatalog) {
+        std::vector<protocol::MachineType> types;
+        for (const auto& entry : spec_.types) {
+            types.push_back(entry.type);
+            types.back().zones = spec_.zones;
+        }
+        return reply(answer(200, protocol::encodeCatalog(types)));
+    }
+    if (path == wire::pathRelease) {
+        for (const auto& name : protocol::listOf(*body, wire::machines)) {
+            Worker* target = worker(name.get<std::string>());
+            if (target == nullptr || target->gone) continue;
+            killAll(*target);
+            target->gone = true;
+        }
+        return reply(answer(200));
+    }
+    if (request.method == "POST") {
+        const auto name = protocol::textOf(*body, wire::rental);
+        const auto known = rentals_.find(name);
+        if (known != rentals_.end()) return reply(answer(200, {{wire::machines, known->second}}));
+        const auto type = protocol::textOf(*body, wire::type);
+        const auto zone = protocol::textOf(*body, wire::zone);
+        const bool spot = protocol::flagOf(*body, wire::spot);
+        const auto found = std::find_if(spec_.types.begin(), spec_.types.end(),
+                                        [&](const auto& t) { return t.type.name == type; });
+        auto room = spot ? found->spotCapacity : found->capacity;
+        for (const auto& [id, w] : workers_)
+            if (!w->gone && w->type == type && w->zone == zone && w->spot == spot) --room;
+        const auto count = std::min(room, static_cast<int>(protocol::countOf(*body, wire::count)));
+        if (count <= 0) return reply(answer(503, {{"error", "no capacity"}}));
+        auto& names = rentals_[name];
+        for (int i = 0; i < count; ++i) {
+            addMachine(type, zone, spot);
+            names.push_back(workers_.rbegin()->first);
+        }
+        return reply(answer(200, {{wire::machines, names}}));
+    }
+    // A list is as old as its lag.
+    const auto moment = now_ - spec_.listLag * std::uniform_real_distribution<>(1.0, 2.0)(rng_);
+    // In name order, a page at a time.
+    const auto query = queryOf(request.path);
+    const auto since = query.contains(wire::querySince) ? query.at(wire::querySince) : "";
+    const auto most = std::stoul(query.at(wire::queryMost));
+    Json machines = Json::array();
+    bool more = false;
+    for (auto at = workers_.upper_bound(since); at != workers_.end(); ++at) {
+        const auto& [id, w] = *at;
+        if (w->rented > moment || w->gone) continue;
+        more = machines.size() == most;
+        if (more) break;
+        machines.push_back({{wire::id, id},
+                            {wire::address, id},
+                            {wire::type, w->type},
+                            {wire::zone, w->zone},
+                            {wire::spot, w->spot},
+                            {wire::state, w->up ? wire::stateRunning : wire::stateBooting},
+                            {wire::age, (moment - w->rented).count()}});
+    }
+    reply(answer(200, {{wire::machines, machines}, {wire::more, more}}));
+}
+
+}  // namespace fawnwheel::sim
--- /dev/null
+++ b/tests/sim/world_parts.h
@@ -0,0 +1,154 @@
+// What the files of the stand-in world share: a node, a worker and a task as they truly are.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "protocol/names.h"
+#include "sim/world.h"
+
+namespace fawnwheel::sim {
+
+namespace wire = protocol::wire;
+using protocol::Json;
+using transport::HttpDone;
+using transport::HttpReply;
+using transport::HttpRequest;
+using transport::HttpResponse;
+
+inline constexpr Time gangWait{20.0};
+inline constexpr Time gangPeer{4.0};
+
+inline transport::Duration toSteady(Time t) {
+    return std::chrono::duration_cast<transport::Duration>(t);
+}
+
+inline HttpResponse answer(int status, const Json& body = Json::object()) {
+    return {status, protocol::encodeCbor(body), 0};
+}
+
+// The fields of a path's query.
+std::map<std::string, std::string> queryOf(const std::string& path);
+
+template <typename Map>
+auto& nth(Map& map, std::size_t index) {
+    return *std::next(map.begin(), static_cast<std::ptrdiff_t>(index))->second;
+}
+
+// Timers and network of one life of a node: what an earlier life has planned never happens.
+class NodeClock final : public transport::Timers {
+  public:
+    NodeClock(World& world, std::shared_ptr<bool> alive)
+        : world_(world), alive_(std::move(alive)) {}
+    [[nodiscard]] transport::SteadyTime now() const override {
+        return transport::SteadyTime(toSteady(world_.now_ + Time(1000)));
+    }
+    [[nodiscard]] transport::WallTime wallNow() const override {
+        return transport::WallTime(
+            std::chrono::duration_cast<transport::WallTime::duration>(world_.now_ + Time(1e9)));
+    }
+    transport::TimerId after(transport::Duration delay, std::function<void()> action) override {
+        const auto id = next_++;
+        auto pending = std::make_shared<bool>(true);
+        pending_[id] = pending;
+        world_.at(world_.now_ + std::max(Time(delay), Time(0)),
+                  [this, id, pending, alive = alive_, action = std::move(action)] {
+                      if (!*alive || !*pending) return;
+                      pending_.erase(id);
+                      action();
+                  });
+        return id;
+    }
+    void cancel(transport::TimerId id) override {
+        if (const auto found = pending_.find(id); found != pending_.end()) {
+            *found->second = false;
+            pending_.erase(found);
+        }
+    }
+
+  private:
+    World& world_;
+    std::shared_ptr<bool> alive_;
+    transport::TimerId next_ = 1;
+    std::map<transport::TimerId, std::shared_ptr<bool>> pending_;
+};
+
+class NodeNetwork final : public transport::Network {
+  public:
+    NodeNetwork(World& world, std::string host, std::shared_ptr<bool> alive)
+        : world_(world), host_(std::move(host)), alive_(std::move(alive)) {}
+    void call(const std::string& address, HttpRequest request, transport::Duration timeout,
+              HttpDone done) override {
+        world_.request(host_, address, std::move(request), Time(timeout),
+                       [alive = alive_, done = std::move(done)](std::optional<HttpResponse> r) {
+                           if (*alive) done(std::move(r));
+                       });
+    }
+    void sendFrame(const std::string& peer, std::string payload) override;
+
+  private:
+    World& world_;
+    std::string host_;
+    std::shared_ptr<bool> alive_;
+};
+
+struct World::Node {
+    std::string name;
+    app::Settings settings;
+    bool oldVersion = false;
+    std::shared_ptr<bool> alive;
+    std::unique_ptr<NodeClock> clock;
+    std::unique_ptr<NodeNetwork> network;
+    std::unique_ptr<coordination::Controller> controller;
+    std::vector<std::unique_ptr<coordination::Controller>> ended;  // until the world ends
+    std::vector<std::unique_ptr<NodeClock>> endedClocks;
+    std::vector<std::unique_ptr<NodeNetwork>> endedNetworks;
+};
+
+struct World::Task {
+    std::string job;
+    std::uint32_t index = 0;
+    std::uint64_t attempt = 0;
+    std::string state = wire::stateFetching;
+    std::string cause;
+    bool kept = false;
+    Time imageAt{};
+    Time waitingSince{};
+    Time progress{};
+    std::optional<Time> saveEnds;
+    std::optional<Time> peersGoneAt;
+    bool placed = false;  // has its image: counts as being on the machine
+};
+
+struct World::Worker {
+    std::string id;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    bool up = false;
+    bool gone = false;
+    bool faulty = false;
+    Time rented{};
+    Time hangsUntil{};
+    Time deafUntil{};
+    Time muteUntil{};
+    Time slowUntil{};
+    Time slowBy{};
+    std::optional<Time> noticeEnds;
+    std::uint64_t session = 1;
+    std::uint64_t sequence = 0;
+    std::uint64_t token = 0;
+    Time leaseFrom{};
+    int node = 0;
+    bool reporting = false;
+    std::uint64_t reportNumber = 0;
+    Time lastReport{-10};
+    Time tokenReported{-1000};
+    bool soon = false;
+    std::vector<std::string> images;
+    std::vector<Task> tasks;
+};
+
+}  // namespace fawnwheel::sim
--- /dev/null
+++ b/tests/sim/world_state.cpp
@@ -0,0 +1,211 @@
+// The stand-in for the state service.
+#include <algorithm>
+
+#include "bookkeeping/records.h"
+#include "sim/world_parts.h"
+
+namespace fawnwheel::sim {
+
+namespace {
+
+constexpr std::size_t keptChanges = 10'000;
+
+}  // namespace
+
+void World::stateOutage(Time length) {
+    stateBackAt_ = now_ + length;
+    checker_.troubledUntil(stateBackAt_);
+    for (auto& [id, hold] : holds_) hold.first = stateBackAt_ + hold.second;
+    at(stateBackAt_, [this] { answerWatches(); });
+}
+
+void World::refuseState(int node, Time length) {
+    refusedUntil_["node-" + std::to_string(node)] = now_ + length;
+    at(now_ + length, [this] { answerWatches(); });
+    checker_.troubledUntil(now_ + length);
+}
+
+void World::expireHolds() {
+    if (now_ < stateBackAt_) return;
+    for (auto hold = holds_.begin(); hold != holds_.end();) {
+        if (hold->second.first > now_) {
+            ++hold;
+            continue;
+        }
+        std::vector<std::string> keys;
+        for (const auto& [key, record] : records_)
+            if (record.hold == hold->first) keys.push_back(key);
+        hold = holds_.erase(hold);
+        for (const auto& key : keys) {
+            ++revision_;
+            records_.erase(key);
+            changed(key, true);
+        }
+        if (!keys.empty()) answerWatches();
+    }
+}
+
+void World::changed(const std::string& key, bool deleted) {
+    log_.emplace_back(revision_, key, deleted ? std::nullopt : std::optional(records_[key].value));
+    if (log_.size() > keptChanges) log_.pop_front();
+}
+
+void World::answerWatches() {
+    if (now_ < stateBackAt_) return;
+    for (const auto& watch : watches_) {
+        if (!watch->open || stateRefuses(watch->from)) continue;
+        Json events = Json::array();
+        for (const auto& [revision, key, value] : log_) {
+            if (revision <= watch->since || !key.starts_with(watch->prefix)) continue;
+            Json event{{value ? wire::put : wire::drop, key}, {wire::version, revision}};
+            if (value) event[wire::value] = *value;
+            events.push_back(std::move(event));
+        }
+        if (events.empty()) continue;
+        watch->open = false;
+        watch->reply(answer(200, {{wire::revision, revision_}, {wire::events, events}}));
+    }
+    std::erase_if(watches_, [](const auto& watch) { return !watch->open; });
+}
+
+bool World::stateRefuses(const std::string& node) const {
+    const auto refused = refusedUntil_.find(node);
+    return now_ < stateBackAt_ || (refused != refusedUntil_.end() && now_ < refused->second);
+}
+
+void World::endWatch(const std::shared_ptr<Watch>& watch) {
+    if (!watch->open) return;
+    // Watches that are open stay open while their node is not served.
+    if (stateRefuses(watch->from)) {
+        at(now_ + Time(1), [this, watch] { endWatch(watch); });
+        return;
+    }
+    watch->open = false;
+    watch->reply(answer(200, {{wire::revision, revision_}, {wire::events, Json::array()}}));
+}
+
+bool World::withinLimits(const Json& body) const {
+    const auto& changes = protocol::listOf(body, wire::changes);
+    const auto& conditions = protocol::listOf(body, wire::conditions);
+    const auto conditionsMost = limits_.changes * app::Settings::conditionsPerChange;
+    return changes.size() <= limits_.changes && conditions.size() <= conditionsMost &&
+           std::all_of(changes.begin(), changes.end(), [this](const Json& change) {
+               const auto value = change.find(wire::value);
+               return value == change.end() ||
+                      static_cast<double>(value->dump().size()) <= limits_.valueKb * 1024;
+           });
+}
+
+Json World::asWrittenBy(const std::string& from, Json body) const {
+    const auto node = std::find_if(nodes_.begin(), nodes_.end(),
+                                   [&from](const auto& n) { return n->name == from; });
+    if (node == nodes_.end() || !(*node)->oldVersion) return body;
+    Json kept = Json::array();
+    for (const auto& change : protocol::listOf(body, wire::changes))
+        if (!protocol::textOf(change, wire::put).starts_with(bookkeeping::keys::upgraded({})))
+            kept.push_back(change);
+    body[wire::changes] = std::move(kept);
+    return body;
+}
+
+HttpResponse World::stateTransaction(const Json& body) {
+    if (!withinLimits(body)) return answer(400);
+    Json failed = Json::array();
+    for (const auto& condition : protocol::listOf(body, wire::conditions)) {
+        const auto key = protocol::textOf(condition, wire::key);
+        const auto found = records_.find(key);
+        const auto version = found == records_.end() ? 0 : found->second.version;
+        if (version != protocol::countOf(condition, wire::version)) failed.push_back(key);
+    }
+    const auto& changes = protocol::listOf(body, wire::changes);
+    for (const auto& change : changes) {
+        const auto hold = protocol::countOf(change, wire::hold);
+        if (hold != 0 && !holds_.contains(hold)) return answer(400);
+    }
+    if (!failed.empty()) return answer(409, {{wire::failed, failed}, {wire::revision, revision_}});
+    if (!changes.empty()) ++revision_;
+    for (const auto& change : changes) {
+        auto key = protocol::textOf(change, wire::put);
+        if (key.empty()) {
+            key = protocol::textOf(change, wire::drop);
+            if (records_.erase(key) > 0) changed(key, true);
+            continue;
+        }
+        records_[key] = {change[wire::value], revision_, protocol::countOf(change, wire::hold)};
+        changed(key, false);
+    }
+    answerWatches();
+    return answer(200, {{wire::revision, revision_}});
+}
+
+void World::serveState(const std::string& from, const HttpRequest& request,
+                       const HttpReply& reply) {
+    expireHolds();
+    const auto path = request.path.substr(0, request.path.find('?'));
+    const auto query = queryOf(request.path);
+    const auto text = [&](const char* name) {
+        const auto found = query.find(name);
+        return found == query.end() ? std::string() : found->second;
+    };
+    if (path == wire::pathFollow) {
+        auto watch = std::make_shared<Watch>();
+        watch->prefix = text(wire::queryPrefix);
+        watch->since = std::stoull(text(wire::querySince));
+        watch->reply = reply;
+        watch->from = from;
+        if (stateRefuses(from)) return reply(answer(503));
+        watches_.push_back(watch);
+        at(now_ + Time(std::stod(text(wire::queryWait)) / 1000),
+           [this, watch] { endWatch(watch); });
+        return answerWatches();
+    }
+    if (stateRefuses(from)) return reply(answer(503));
+    auto body = protocol::decodeCbor(request.body);
+    if (path == wire::pathTransaction) {
+        body = asWrittenBy(from, std::move(*body));
+        if (now_ >= lateUntil_ || std::uniform_real_distribution<>(0, 1)(rng_) >= lateShare_)
+            return reply(stateTransaction(*body));
+        const Time later(
+            std::uniform_real_distribution<>(soonestWrite.count(), latestWrite.count())(rng_));
+        at(std::max(now_ + later, stateBackAt_), [this, body = *body] {
+            expireHolds();
+            stateTransaction(body);
+        });
+        return;
+    }
+    if (path == wire::pathHolds) {
+        const Time length(protocol::numberOf(*body, wire::holdTime) / 1000);
+        holds_[nextHold_] = {now_ + length, length};
+        return reply(answer(200, {{wire::hold, nextHold_++}}));
+    }
+    if (path.starts_with(wire::pathHolds)) {
+        const auto id = std::stoull(path.substr(std::string(wire::pathHolds).size() + 1));
+        const auto hold = holds_.find(id);
+        if (hold == holds_.end()) return reply(answer(404));
+        hold->second.first = now_ + hold->second.second;
+        return reply(answer(200, {{wire::hold, id}}));
+    }
+    const auto item = [](const std::string& key, const Record& record) {
+        return Json{{wire::key, key}, {wire::value, record.value}, {wire::version, record.version}};
+    };
+    if (path == wire::pathKeys) {
+        Json items = Json::array();
+        const auto prefix = text(wire::queryPrefix);
+        const auto most = std::stoul(text(wire::queryMost));
+        bool more = false;
+        for (auto at = records_.upper_bound(std::max(text(wire::querySince), prefix));
+             at != records_.end() && at->first.starts_with(prefix); ++at) {
+            more = items.size() == most;
+            if (more) break;
+            items.push_back(item(at->first, at->second));
+        }
+        return reply(
+            answer(200, {{wire::items, items}, {wire::more, more}, {wire::revision, revision_}}));
+    }
+    const auto key = path.substr(std::string(wire::pathKeys).size() + 1);
+    const auto found = records_.find(key);
+    if (found == records_.end()) return reply(answer(404, {{wire::revision, revision_}}));
+    reply(answer(200, item(key, found->second)));
+}
+
+}  // namespace fawnwheel::sim
--- /dev/null
+++ b/tests/sim/world_workers.cpp
@@ -0,0 +1,335 @@
+// The stand-ins for workers: reports, commands, tasks and gangs, and their troubles.
+#include <algorithm>
+
+#include "sim/world_parts.h"
+
+namespace fawnwheel::sim {
+
+namespace {
+
+constexpr Time step{0.25};
+constexpr Time reportPeriod{3.0};
+constexpr Time reportGap{0.5};
+constexpr Time reportTimeout{4.0};
+
+}  // namespace
+
+World::Worker* World::worker(const std::string& id) {
+    const auto found = workers_.find(id);
+    return found == workers_.end() ? nullptr : found->second.get();
+}
+
+void World::addMachine(const std::string& type, const std::string& zone, bool spot) {
+    auto name = std::to_string(nextMachine_++);
+    name = "m-" + std::string(6 - name.size(), '0') + name;
+    auto w = std::make_unique<Worker>();
+    w->id = name;
+    w->type = type;
+    w->zone = zone;
+    w->spot = spot;
+    w->rented = now_;
+    w->node = someNode();
+    const auto found = std::find_if(spec_.types.begin(), spec_.types.end(),
+                                    [&](const auto& t) { return t.type.name == type; });
+    const Time boot = now_ > Time(0)
+                          ? found->type.bootTime * std::uniform_real_distribution<>(0.6, 1.5)(rng_)
+                          : Time(0);
+    at(now_ + boot, [this, name] { startWorker(*worker(name)); });
+    workers_[name] = std::move(w);
+}
+
+void World::startWorker(Worker& w) {
+    if (w.gone) return;
+    w.up = true;
+    w.leaseFrom = now_;
+    reportSoon(w);
+    stepWorker(w);
+}
+
+Json World::reportBody(Worker& w) const {
+    Json tasks = Json::array();
+    for (const auto& task : w.tasks) {
+        Json entry{{wire::task, task.job + "/" + std::to_string(task.index)},
+                   {wire::attempt, task.attempt},
+                   {wire::state, task.state}};
+        if (!task.cause.empty()) entry[wire::cause] = task.cause;
+        if (task.kept) entry[wire::saved] = true;
+        tasks.push_back(std::move(entry));
+    }
+    Json body{
+        {wire::machine, w.id},        {wire::address, w.id},  {wire::type, w.type},
+        {wire::zone, w.zone},         {wire::spot, w.spot},   {wire::session, w.session},
+        {wire::sequence, w.sequence}, {wire::token, w.token}, {wire::tasks, std::move(tasks)}};
+    if (w.noticeEnds) body[wire::notice] = (*w.noticeEnds - now_).count();
+    return body;
+}
+
+void World::reportSoon(Worker& w) {
+    if (w.soon) return;
+    w.soon = true;
+    at(std::max(now_, w.lastReport + reportGap), [this, id = w.id] {
+        Worker& target = *worker(id);
+        target.soon = false;
+        report(target);
+    });
+}
+
+void World::report(Worker& w) {
+    if (w.gone || w.reporting) return;
+    if (w.hangsUntil > now_) {
+        at(w.hangsUntil, [this, id = w.id] { report(*worker(id)); });
+        return;
+    }
+    w.reporting = true;
+    w.lastReport = now_;
+    ++w.sequence;
+    const auto number = ++w.reportNumber;
+    const auto sent = now_;
+    const auto session = w.session;
+    const HttpRequest sending{"POST", wire::pathReport, protocol::encodeCbor(reportBody(w))};
+    const auto& node = nodes_[static_cast<std::size_t>(w.node)]->name;
+    if (std::uniform_real_distribution<>(0, 1)(rng_) < copiedShare_)
+        at(now_ + latestCopy_ * std::uniform_real_distribution<>(0.02, 1)(rng_),
+           [this, id = w.id, node, sending] {
+               serve(id, node, sending, [](const HttpResponse&) {});
+           });
+    request(w.id, node, sending, reportTimeout,
+            [this, id = w.id, number, sent, session](const std::optional<HttpResponse>& response) {
+                Worker& target = *worker(id);
+                if (target.gone || target.reportNumber != number) return;
+                target.reporting = false;
+                const auto body = response ? protocol::decodeCbor(response->body) : std::nullopt;
+                if (response && response->status == 421 && body) {
+                    const auto to = protocol::textOf(*body, wire::reportTo);
+                    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+                        if (nodes_[i]->name != to || static_cast<int>(i) == target.node) continue;
+                        target.node = static_cast<int>(i);
+                        return reportSoon(target);
+                    }
+                }
+                if (!response || response->status != 200 || !body) {
+                    target.node = (target.node + 1) % spec_.nodes;
+                    at(now_ + Time(1), [this, id] { reportSoon(*worker(id)); });
+                    return;
+                }
+                const auto token = protocol::countOf(*body, wire::token);
+                if (token >= target.token && session == target.session) {
+                    const bool higher = token > target.token;
+                    target.token = token;
+                    target.leaseFrom = sent;
+                    obey(target, protocol::listOf(*body, wire::commands));
+                    if (higher && now_ - target.tokenReported > spec_.lease / 2) {
+                        target.tokenReported = now_;
+                        reportSoon(target);
+                    }
+                }
+                const Time pause =
+                    reportPeriod * std::uniform_real_distribution<>(0.75, 1.25)(rng_);
+                at(now_ + pause, [this, id, number] {
+                    if (worker(id)->reportNumber == number) reportSoon(*worker(id));
+                });
+            });
+}
+
+void World::obey(Worker& w, const Json& calls) {
+    for (const auto& call : calls) {
+        const auto op = protocol::textOf(call, wire::command);
+        const auto name = protocol::textOf(call, wire::task);
+        const auto slash = name.rfind('/');
+        const auto job = name.substr(0, slash);
+        const auto index = static_cast<std::uint32_t>(std::stoul(name.substr(slash + 1)));
+        const auto attempt = protocol::countOf(call, wire::attempt);
+        const auto found = std::find_if(w.tasks.begin(), w.tasks.end(), [&](const Task& t) {
+            return t.job == job && t.index == index && t.attempt == attempt;
+        });
+        if (op == wire::commandForget) {
+            if (found != w.tasks.end() && found->state == wire::stateExited) w.tasks.erase(found);
+        } else if (op == wire::commandStop) {
+            if (found == w.tasks.end() || found->state == wire::stateExited) continue;
+            const auto& truth = truths_[job];
+            const Time grace(protocol::numberOf(call, wire::grace));
+            if (found->state == wire::stateRunning && truth.spec.checkpoint.count() > 0 &&
+                grace >= truth.spec.save) {
+                found->state = wire::stateSaving;
+                found->saveEnds = now_ + truth.spec.save;
+            } else if (found->state != wire::stateSaving || grace == Time(0)) {
+                endTask(w, *found, wire::causeStopped, false);
+            }
+        } else if (found == w.tasks.end()) {
+            Task task;
+            task.job = job;
+            task.index = index;
+            task.attempt = attempt;
+            const auto& truth = truths_[job];
+            const auto type = std::find_if(spec_.types.begin(), spec_.types.end(),
+                                           [&](const auto& t) { return t.type.name == w.type; });
+            protocol::Resources used = truth.spec.each;
+            bool busy = false;
+            for (const auto& other : w.tasks) {
+                if (other.state == wire::stateExited) continue;
+                used += truths_[other.job].spec.each;
+                busy = busy || (other.job == job && other.index == index);
+            }
+            const char* refusal = !truth.submitted                  ? wire::causeUnknown
+                                  : busy                            ? wire::causeBusy
+                                  : !used.fits(type->type.capacity) ? wire::causeNoRoom
+                                                                    : nullptr;
+            if (refusal != nullptr) {
+                task.state = wire::stateExited;
+                task.cause = refusal;
+            } else {
+                const bool cached =
+                    std::find(w.images.begin(), w.images.end(), truth.spec.image) != w.images.end();
+                task.imageAt =
+                    now_ + Time(cached ? 0.0 : truth.spec.imageSize / type->type.fetchRate);
+            }
+            w.tasks.push_back(std::move(task));
+        }
+        reportSoon(w);
+    }
+}
+
+void World::endTask(Worker& w, Task& task, const char* cause, bool kept) {
+    const bool done = std::string(cause) == wire::causeDone;
+    if (task.placed) checker_.ended(task.job, task.index, w.id, done, now_);
+    if (done) {
+        Truth& truth = truths_[task.job];
+        truth.done.insert(task.index);
+        if (truth.done.size() == truth.spec.tasks && now_ < cancelAtEndUntil_ &&
+            std::uniform_real_distribution<>(0, 1)(rng_) < cancelAtEndShare_)
+            at(now_, [this, job = task.job] { cancel(job); });
+    }
+    task.placed = false;
+    task.state = wire::stateExited;
+    task.cause = cause;
+    task.kept = kept;
+    reportSoon(w);
+}
+
+void World::killAll(Worker& w) {
+    for (auto& task : w.tasks)
+        if (task.placed) checker_.ended(task.job, task.index, w.id, false, now_);
+    w.tasks.clear();
+}
+
+void World::stepWorker(Worker& w) {
+    if (w.gone) return;
+    if (w.noticeEnds && now_ >= *w.noticeEnds) {
+        killAll(w);
+        w.gone = true;
+        return;
+    }
+    at(now_ + step, [this, id = w.id] { stepWorker(*worker(id)); });
+    if (w.hangsUntil > now_) return;
+    if (now_ - w.leaseFrom > spec_.lease) {
+        killAll(w);
+        ++w.session;
+        w.leaseFrom = now_;
+        reportSoon(w);
+        return;
+    }
+    std::set<std::string> gangs;
+    for (auto& task : w.tasks) {
+        Truth& truth = truths_[task.job];
+        const bool gang = truth.spec.kind == protocol::JobKind::gang;
+        if (task.state == wire::stateFetching && now_ >= task.imageAt) {
+            if (std::find(w.images.begin(), w.images.end(), truth.spec.image) == w.images.end())
+                w.images.push_back(truth.spec.image);
+            task.placed = true;
+            checker_.started(task.job, task.index, {w.id, w.type, w.zone, w.spot}, now_);
+            task.state = gang ? wire::stateWaiting : wire::stateRunning;
+            task.waitingSince = now_;
+            task.progress = truth.saved[task.index];
+            reportSoon(w);
+        } else if (task.state == wire::stateSaving) {
+            if (now_ >= *task.saveEnds) {
+                truth.saved[task.index] = task.progress;
+                endTask(w, task, wire::causeStopped, true);
+            }
+        } else if (task.state == wire::stateRunning) {
+            task.progress += step;
+            if (truth.spec.checkpoint.count() > 0 && !gang) {
+                const auto whole = std::floor(task.progress / truth.spec.checkpoint);
+                truth.saved[task.index] =
+                    std::max(truth.saved[task.index], Time(truth.spec.checkpoint) * whole);
+            }
+            if (w.faulty || truth.faulty)
+                endTask(w, task, wire::causeError, false);
+            else if (truth.done.contains(task.index) ||
+                     (truth.spec.kind != protocol::JobKind::service && !gang &&
+                      task.progress >= truth.runs))
+                endTask(w, task, wire::causeDone, false);
+        }
+        if (gang) gangs.insert(task.job);
+    }
+    for (const auto& job : gangs) gangStep(job);
+}
+
+void World::gangStep(const std::string& job) {
+    const Truth& truth = truths_[job];
+    std::map<std::uint64_t, std::vector<std::pair<Worker*, Task*>>> attempts;
+    for (const auto& [id, w] : workers_)
+        if (!w->gone)
+            for (auto& task : w->tasks)
+                if (task.job == job && task.placed)
+                    attempts[task.attempt].emplace_back(w.get(), &task);
+    for (auto& entry : attempts) {
+        auto& members = entry.second;
+        const auto inState = [&members](const char* state) {
+            return static_cast<std::size_t>(
+                std::count_if(members.begin(), members.end(),
+                              [state](const auto& m) { return m.second->state == state; }));
+        };
+        const auto running = inState(wire::stateRunning);
+        const auto waiting = inState(wire::stateWaiting);
+        const bool whole = members.size() == truth.spec.tasks;
+        const bool finished = whole && running == members.size() &&
+                              std::all_of(members.begin(), members.end(), [&](const auto& m) {
+                                  return m.second->progress >= truth.runs;
+                              });
+        for (auto& [w, task] : members) {
+            if (w->hangsUntil > now_) continue;
+            if (finished) {
+                endTask(*w, *task, wire::causeDone, false);
+            } else if (task->state == wire::stateWaiting) {
+                if (whole && running + waiting == members.size()) {
+                    task->state = wire::stateRunning;
+                    reportSoon(*w);
+                } else if (now_ - task->waitingSince > gangWait) {
+                    endTask(*w, *task, wire::causeAlone, false);
+                }
+            } else if (task->state == wire::stateRunning && !whole) {
+                if (!task->peersGoneAt) task->peersGoneAt = now_ + gangPeer;
+                if (now_ >= *task->peersGoneAt) endTask(*w, *task, wire::causePeers, false);
+            }
+        }
+    }
+}
+
+void World::hang(std::size_t machine, Time length) {
+    nth(workers_, machine).hangsUntil = now_ + length;
+    checker_.troubledUntil(now_ + length);
+}
+
+void World::die(std::size_t machine) {
+    Worker& w = nth(workers_, machine);
+    killAll(w);
+    w.gone = true;
+}
+
+void World::notice(std::size_t machine, Time left) {
+    Worker& w = nth(workers_, machine);
+    w.noticeEnds = now_ + left;
+    reportSoon(w);
+}
+
+void World::breakMachine(std::size_t machine) {
+    nth(workers_, machine).faulty = true;
+}
+
+std::size_t World::machinesUp() const {
+    return static_cast<std::size_t>(std::count_if(
+        workers_.begin(), workers_.end(), [](auto& w) { return w.second->up && !w.second->gone; }));
+}
+
+}  // namespace fawnwheel::sim
