A controller that hears no workers hands its parts over; silent machines behind a cut are kept

Each machine in turn was the only one overdue, so that all were given back with what ran on them (57 and 28 machines).

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -22,6 +22,7 @@
                        transport::Timers& timers, transport::Network& network, std::uint64_t seed)
     : context_(settings, tuning, timers, network, seed),
       replica_(context_),
+      contact_(context_),
       committer_(context_),
       membership_(context_),
       recorder_(context_, committer_),
@@ -48,10 +49,18 @@
     membership_.everSynced = [this] { return replica_.everSynced(); };
     membership_.recordsCurrentAsOf = [this] { return replica_.currentAsOf(); };
     membership_.onCancellations = [this] { noteCancellations(); };
-    membership_.ready = [this] { return replica_.synced() && !context_.catalog.empty(); };
+    membership_.ready = [this] {
+        return replica_.synced() && !context_.catalog.empty() && contact_.steady();
+    };
+    membership_.workersLost = [this] { return contact_.lost(); };
+    contact_.onChange = [this] {
+        membership_.noteContact();
+        soon();
+    };
     membership_.busy = [this](std::uint32_t part) { return committer_.busy(part); };
     membership_.onActive = [this](std::uint32_t part) {
         reports_.onPartActive(part);
+        contact_.expectReports();
         soon();
     };
     membership_.onLost = [this](std::uint32_t part) { discardUnrecorded(part); };
@@ -111,7 +120,8 @@
 
 void Controller::work() {
     for (const auto part : membership_.activeParts()) {
-        if (membership_.leaseStands()) {
+        // Starts would reach nobody: what waits is left to the next owner.
+        if (membership_.leaseStands() && !contact_.lost()) {
             const auto unplaced = placement_.run(part);
             for (const auto& machine : placement_.preemptFor(part, unplaced))
                 reports_.stopMarked(machine);
@@ -158,6 +168,7 @@
         return context_.ledger.lock()->job(id) == nullptr;
     });
     triggers_.review();
+    contact_.review(membership_.activeParts());
     soon();
     context_.timers.after(housekeepingPeriod, [this] { housekeeping(); });
 }
@@ -166,6 +177,7 @@
     const auto map = protocol::decodeCbor(body);
     const auto report = map ? protocol::parseWorkerReport(*map) : std::nullopt;
     if (!report) return reply({400, {}, 0});
+    contact_.noteReport();
     if (!replica_.synced()) return reply({503, {}, 0});
     auto answer = reports_.handle(*report);
     reply({answer.status, std::move(answer.body), 0});
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -9,6 +9,7 @@
 #include "coordination/replica.h"
 #include "coordination/shares.h"
 #include "coordination/triggers.h"
+#include "coordination/worker_contact.h"
 
 namespace fawnwheel::coordination {
 
@@ -36,6 +37,7 @@
 
     Context context_;
     Replica replica_;
+    WorkerContact contact_;
     Committer committer_;
     Membership membership_;
     Recorder recorder_;
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -23,6 +23,7 @@
 constexpr double neverBoots = 4.0;  // times the stated boot time
 constexpr auto silentRelease = 15s;
 constexpr double silentReports = 3.5;  // and no sooner than after so many missed reports
+constexpr double quietReports = 1.5;   // a report that is so late is overdue
 constexpr std::size_t maxReleaseAtOnce = 100;
 constexpr auto useLogPeriod = 20s;
 
@@ -356,6 +357,22 @@
             use.used.gpus, use.all.gpus);
 }
 
+bool Fleet::mostAreQuiet(const Ledger& ledger, std::uint32_t part) const {
+    // Many at once are behind a cut rather than dead. They are counted as soon as a report is
+    // overdue: counted only when it was time to give them up, each in turn was the only silent one,
+    // and a part gave back all its machines with all that ran there (incident inc-59fe).
+    const auto now = context_.now();
+    const auto overdue = ticks(context_.settings.report * quietReports);
+    std::size_t live = 0;
+    std::size_t quiet = 0;
+    for (const auto* machine : ledger.machinesOf(part)) {
+        if (!machine->lastReport) continue;
+        ++live;
+        if (now - *machine->lastReport > overdue) ++quiet;
+    }
+    return membership_.workersLost() || (quiet > 1 && quiet * 2 > live);
+}
+
 void Fleet::review(std::uint32_t part) {
     if (!membership_.leaseStands()) return;
     const auto now = context_.now();
@@ -365,15 +382,9 @@
     if (part == 0 && ledger->catalog.empty() && !context_.catalog.empty() && !committer_.busy(0))
         recordCatalog();
     noteClasses(*ledger);
-    std::size_t live = 0;
-    std::size_t silent = 0;
     const auto silentLimit =
         std::max<Duration>(silentRelease, ticks(context_.settings.report * silentReports));
-    for (const auto* machine : ledger->machinesOf(part)) {
-        if (machine->retired || !machine->lastReport) continue;
-        ++live;
-        if (now - *machine->lastReport > silentLimit) ++silent;
-    }
+    const bool behindCut = mostAreQuiet(*ledger, part);
     for (auto* entry : ledger->machinesOf(part)) {
         Machine& machine = *entry;
         const auto* type = context_.type(machine.type);
@@ -389,8 +400,7 @@
         } else if (machine.notBefore - now > 1min) {
             retire(machine, "faulty");
         } else if (now - *machine.lastReport > silentLimit) {
-            // Many at once are behind a cut rather than dead.
-            if (silent * 2 <= live || silent == 1) retire(machine, "silent");
+            if (!behindCut) retire(machine, "silent");
         } else if (!machine.acknowledged() && machine.claims.empty() &&
                    now - machine.doubtedSince > silentLimit + ticks(context_.settings.lease)) {
             retire(machine, "does not hear");
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -345,45 +345,93 @@
         onActive(part);
     }
     if (!joined_ || !synced() || !leaseStands()) return;
-    const auto now = context_.now();
     for (std::uint32_t part = 0; part < context_.partCount(); ++part) {
-        bookkeeping::Part record;
-        bool ownerAlive = false;
-        bool naturalAlive = false;
-        const std::string natural = context_.nodes[part];
-        {
-            auto ledger = context_.ledger.lock();
-            record = ledger->parts[part];
-            ownerAlive = ledger->nodes.contains(record.owner);
-            naturalAlive = ledger->nodes.contains(natural);
-        }
-        if (settled(part)) {
-            const auto peer = peers_.find(natural);
-            if (natural != context_.settings.name && naturalAlive && peer != peers_.end() &&
-                peerFresh(natural) && peer->second.ready && peer->second.reachable &&
-                now - peer->second.freshSince > handBackAfter && !busy(part))
-                handBack(part);
-            continue;
-        }
-        if (record.owner == context_.settings.name) {
-            // Ours by an earlier life, handed to us, or its term must rise. In each case no other
-            // process acts as its owner.
-            if (!taken_.contains(part) || taken_[part] != record.term) take(part);
-            continue;
-        }
-        taken_.erase(part);
-        const bool orphan =
-            record.version == 0 ? natural == context_.settings.name || !naturalAlive : !ownerAlive;
-        if (!orphan) {
-            orphanSince_.erase(part);
-            continue;
-        }
-        const auto since = orphanSince_.try_emplace(part, now).first->second;
-        // Successors stand in line from the part's natural owner on.
-        const auto rank =
-            (context_.naturalPart + context_.partCount() - part) % context_.partCount();
-        if (now - since >= rank * rankPause) take(part);
+        if (settled(part))
+            reviewOwned(part);
+        else
+            reviewOther(part);
+    }
+}
+
+void Membership::reviewOwned(std::uint32_t part) {
+    if (busy(part)) return;
+    if (workersLost()) {
+        // Its machines' leases would run out, with all that runs on them (incident inc-59fe).
+        if (const auto substitute = substituteFor(part)) handOver(part, *substitute);
+        return;
+    }
+    const auto& natural = context_.nodes[part];
+    if (natural == context_.settings.name || !peerCanOwn(natural)) return;
+    if (context_.now() - peers_.at(natural).freshSince > handBackAfter) handOver(part, natural);
+}
+
+void Membership::reviewOther(std::uint32_t part) {
+    const auto now = context_.now();
+    const auto& natural = context_.nodes[part];
+    bookkeeping::Part record;
+    bool ownerAlive = false;
+    bool naturalAlive = false;
+    {
+        auto ledger = context_.ledger.lock();
+        record = ledger->parts[part];
+        ownerAlive = ledger->nodes.contains(record.owner);
+        naturalAlive = ledger->nodes.contains(natural);
+    }
+    if (record.owner == context_.settings.name) {
+        // Ours by an earlier life, handed to us, or its term must rise. In each case no other
+        // process acts as its owner.
+        if (!taken_.contains(part) || taken_[part] != record.term) take(part);
+        return;
     }
+    taken_.erase(part);
+    const bool orphan =
+        record.version == 0 ? natural == context_.settings.name || !naturalAlive : !ownerAlive;
+    if (!orphan) {
+        orphanSince_.erase(part);
+        return;
+    }
+    const auto since = orphanSince_.try_emplace(part, now).first->second;
+    // Successors stand in line from the part's natural owner on; whoever hears no workers comes
+    // after all others.
+    auto rank = (context_.naturalPart + context_.partCount() - part) % context_.partCount();
+    if (workersLost()) rank += context_.partCount();
+    if (now - since >= rank * rankPause) take(part);
+}
+
+bool Membership::peerCanOwn(const std::string& peer) const {
+    const auto state = peers_.find(peer);
+    return state != peers_.end() && peerFresh(peer) && state->second.ready &&
+           state->second.reachable && context_.ledger.lock()->nodes.contains(peer);
+}
+
+std::optional<std::string> Membership::substituteFor(std::uint32_t part) {
+    // Near the part's machines, and with as few other parts as can be.
+    struct Candidate {
+        std::size_t machinesInZone = 0;
+        std::size_t parts = 0;
+        std::string name;
+    };
+    std::optional<Candidate> best;
+    auto ledger = context_.ledger.lock();
+    for (const auto& peer : context_.settings.peers) {
+        if (!peerCanOwn(peer.name)) continue;
+        Candidate candidate{0, 0, peer.name};
+        for (const auto* machine : ledger->machinesOf(part))
+            if (machine->zone == peer.zone) ++candidate.machinesInZone;
+        for (const auto& [number, record] : ledger->parts)
+            if (record.owner == peer.name) ++candidate.parts;
+        if (!best || std::tuple(candidate.machinesInZone, best->parts, best->name) >
+                         std::tuple(best->machinesInZone, candidate.parts, candidate.name))
+            best = std::move(candidate);
+    }
+    if (!best) return std::nullopt;
+    return best->name;
+}
+
+void Membership::noteContact() {
+    // A peer that takes a part from us must not give it back at once.
+    sendStatus();
+    review();
 }
 
 void Membership::take(std::uint32_t part) {
@@ -440,7 +488,7 @@
         });
 }
 
-void Membership::handBack(std::uint32_t part) {
+void Membership::handOver(std::uint32_t part, const std::string& node) {
     if (!taking_.insert(part).second) return;
     protocol::Transaction transaction;
     bookkeeping::Part next;
@@ -448,7 +496,7 @@
         auto ledger = context_.ledger.lock();
         const auto& record = ledger->parts[part];
         next = record;
-        next.owner = context_.nodes[part];
+        next.owner = node;
         transaction.conditions = {{bookkeeping::keys::part(part), record.version},
                                   {bookkeeping::keys::node(next.owner), ledger->nodes[next.owner]}};
         transaction.changes = {{bookkeeping::keys::part(part), bookkeeping::partValue(next), 0}};
@@ -462,7 +510,7 @@
                                 // Without success the record still names us, and we take it anew
                                 // with a higher term.
                                 if (answer.result != protocol::StateResult::ok) return;
-                                spdlog::info("membership: handed part {} back to {}", part,
+                                spdlog::info("membership: handed part {} over to {}", part,
                                              next.owner);
                                 auto ledger = context_.ledger.lock();
                                 auto& record = ledger->parts[part];
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -27,6 +27,8 @@
     void spreadCancellations(std::function<void()> then);
     // The mirror has changed or been read.
     void review();
+    // `workersLost` has changed: peers hear of it before a part changes hands.
+    void noteContact();
 
     // Our lease with the state service surely stands: nobody can have taken our parts.
     [[nodiscard]] bool leaseStands() const;
@@ -63,6 +65,8 @@
     std::function<void(std::uint32_t part)> onLost = [](std::uint32_t) {};
     // Whether the ledger lacks nothing that the follow has brought.
     std::function<bool()> recordsComplete = [] { return true; };
+    // No worker reaches this process: its parts are better off with a peer.
+    std::function<bool()> workersLost = [] { return false; };
     std::function<bool(std::uint32_t part)> busy = [](std::uint32_t) { return false; };
 
   private:
@@ -91,7 +95,14 @@
     void rejoinLater();
     void noteUpgrade();
     void take(std::uint32_t part);
-    void handBack(std::uint32_t part);
+    void reviewOwned(std::uint32_t part);
+    void reviewOther(std::uint32_t part);
+    // Gives the part to this node, which takes it with a higher term.
+    void handOver(std::uint32_t part, const std::string& node);
+    // The peer that serves a part's workers best in our place; none: nobody could.
+    [[nodiscard]] std::optional<std::string> substituteFor(std::uint32_t part);
+    // May own parts, as far as it has told.
+    [[nodiscard]] bool peerCanOwn(const std::string& peer) const;
     // The records name us as the part's owner, in the term in which this process took it.
     [[nodiscard]] bool owned(std::uint32_t part);
     void dropLostParts();
--- /dev/null
+++ b/src/coordination/worker_contact.cpp
@@ -0,0 +1,109 @@
+#include "coordination/worker_contact.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "protocol/names.h"
+
+namespace fawnwheel::coordination {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t inspectedAtOnce = 3;
+constexpr int roundsToLose = 2;
+constexpr auto inspectTimeout = 1s;
+// Reports of many workers come at random moments: a gap of so many mean intervals is no chance.
+constexpr double unlikelyGaps = 20;
+constexpr double leastReportPeriods = 0.5;
+constexpr double mostReportPeriods = 2.5;
+constexpr Duration leastSilence = 3s;
+constexpr auto steadyAfter = 4s;
+// Those that were inspected may be gone rather than cut off: contact is then taken to be back.
+constexpr auto presumedBack = 60s;
+
+}  // namespace
+
+bool WorkerContact::steady() const {
+    return !lost_ && (!regained_ || context_.now() - *regained_ >= steadyAfter);
+}
+
+void WorkerContact::noteHeard() {
+    heard_ = context_.now();
+    silentRounds_ = 0;
+    if (lost_) setLost(false);
+}
+
+void WorkerContact::setLost(bool lost) {
+    if (lost_ == lost) return;
+    lost_ = lost;
+    if (lost)
+        lostSince_ = context_.now();
+    else
+        regained_ = context_.now();
+    spdlog::info("workers: {}", lost ? "none reaches this node" : "reach this node again");
+    onChange();
+}
+
+std::optional<Duration> WorkerContact::longestSilence(const std::vector<std::uint32_t>& parts) {
+    std::size_t machines = 0;
+    auto ledger = context_.ledger.lock();
+    for (const auto part : parts)
+        for (const auto* machine : ledger->machinesOf(part))
+            if (!machine->retired && (machine->lastReport || !machine->claims.empty())) ++machines;
+    if (machines == 0) return std::nullopt;
+    const auto period = context_.settings.report;
+    const Seconds unlikely = period * unlikelyGaps / static_cast<double>(machines);
+    const auto silence =
+        std::clamp<Seconds>(unlikely, period * leastReportPeriods, period * mostReportPeriods);
+    return std::max(leastSilence, ticks(silence));
+}
+
+std::vector<std::string> WorkerContact::addressesOf(const std::vector<std::uint32_t>& parts) {
+    std::vector<std::string> addresses;
+    auto ledger = context_.ledger.lock();
+    for (const auto part : parts)
+        for (const auto* machine : ledger->machinesOf(part))
+            if (!machine->retired && !machine->address.empty())
+                addresses.push_back(machine->address);
+    std::shuffle(addresses.begin(), addresses.end(), context_.rng);
+    return addresses;
+}
+
+void WorkerContact::review(const std::vector<std::uint32_t>& parts) {
+    if (open_ > 0) return;
+    if (!lost_) {
+        const auto silence = longestSilence(parts);
+        if (!silence || context_.now() - heard_ <= *silence) return;
+        return inspect(addressesOf(parts));
+    }
+    if (context_.now() - lostSince_ > presumedBack) return noteHeard();
+    auto addresses = addressesOf(parts);
+    // Its parts are with peers now: the machines of the part that it owns by nature will do.
+    if (addresses.empty()) addresses = addressesOf({context_.naturalPart});
+    inspect(addresses);
+}
+
+void WorkerContact::inspect(const std::vector<std::string>& addresses) {
+    // A single machine may just be dead. To give its part to a peer does no harm then: if it is
+    // alive it is heard there, and else the peer finds out as well.
+    const auto count = std::min(addresses.size(), inspectedAtOnce);
+    open_ = count;
+    answered_ = false;
+    for (std::size_t i = 0; i < count; ++i)
+        context_.network.call(addresses[i], {"GET", protocol::wire::pathInspect, {}},
+                              inspectTimeout,
+                              [this](const std::optional<transport::HttpResponse>& response) {
+                                  answered_ = answered_ || response.has_value();
+                                  if (--open_ == 0) finishRound();
+                              });
+}
+
+void WorkerContact::finishRound() {
+    if (answered_) return noteHeard();
+    if (!lost_ && ++silentRounds_ >= roundsToLose) setLost(true);
+}
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/worker_contact.h
@@ -0,0 +1,57 @@
+// Whether workers can reach this controller.
+//
+// A controller may keep its lease, its peers and its users while the network between it and all
+// workers is down. Its part would then be renewed by nobody and every task there would be lost. The
+// controller notices this by the silence of its workers, makes sure by inspecting some of them
+// itself, and then gives its parts to peers (`Membership::review`).
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "coordination/context.h"
+
+namespace fawnwheel::coordination {
+
+class WorkerContact {
+  public:
+    explicit WorkerContact(Context& context) : context_(context), heard_(context.now()) {}
+
+    // A report has arrived, from any worker.
+    void noteReport() { noteHeard(); }
+    // Parts have come to this process: their workers need time to find it.
+    void expectReports() { heard_ = std::max(heard_, context_.now()); }
+    // To be called periodically, with the parts that this process acts for.
+    void review(const std::vector<std::uint32_t>& parts);
+
+    // No worker reaches this controller, nor is reached by it.
+    [[nodiscard]] bool lost() const { return lost_; }
+    // Workers have reached it for long enough to own machines.
+    [[nodiscard]] bool steady() const;
+
+    // `lost` has changed.
+    std::function<void()> onChange = [] {};
+
+  private:
+    void noteHeard();
+    void setLost(bool lost);
+    // How long all workers of the parts may be silent before some of them are inspected; none: no
+    // worker is expected to report.
+    [[nodiscard]] std::optional<Duration> longestSilence(const std::vector<std::uint32_t>& parts);
+    // Addresses of machines of these parts, in random order.
+    [[nodiscard]] std::vector<std::string> addressesOf(const std::vector<std::uint32_t>& parts);
+    void inspect(const std::vector<std::string>& addresses);
+    void finishRound();
+
+    Context& context_;
+    SteadyTime heard_;  // the last sign of any worker
+    SteadyTime lostSince_{};
+    std::optional<SteadyTime> regained_;
+    bool lost_ = false;
+    std::size_t open_ = 0;   // inspections without an outcome
+    bool answered_ = false;  // one of the present round
+    int silentRounds_ = 0;
+};
+
+}  // namespace fawnwheel::coordination
--- a/src/protocol/names.h
+++ b/src/protocol/names.h
@@ -105,6 +105,7 @@
 inline constexpr auto pathHealth = "/healthz";
 inline constexpr auto pathReport = "/v1/report";
 inline constexpr auto pathOrders = "/orders";
+inline constexpr auto pathInspect = "/inspect";
 inline constexpr auto pathCatalog = "/catalog";
 inline constexpr auto pathRentals = "/rentals";
 inline constexpr auto pathRelease = "/rentals/release";
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -197,6 +197,10 @@
            [this, from, host, request, reply] { serve(from, host, request, reply); });
         return;
     }
+    if (request.path == wire::pathInspect) {
+        ++target->sequence;
+        return reply(answer(200, reportBody(*target)));
+    }
     const auto body = protocol::decodeCbor(request.body);
     const auto token = body ? protocol::countOf(*body, wire::token) : 0;
     const auto session = body ? protocol::countOf(*body, wire::session) : 0;
