Jobs with a mistake are told apart from faulty machines

What fails on three machines and was never done is now the job's fault: one task at a time is tried, last and with growing pauses; the count of machines is in its slices' records, so that the next owner knows it. The error of a job that has had a task done quarantines the machine at once.

--- a/src/bookkeeping/job.cpp
+++ b/src/bookkeeping/job.cpp
@@ -4,6 +4,15 @@
 
 namespace fawnwheel::bookkeeping {
 
+namespace {
+
+// One faulty machine fails many tasks, and two of them may be met in a row.
+constexpr std::uint32_t machinesThatBlameTheJob = 3;
+// A machine that failed a task is avoided by its job for so long: it may be the only one that fits.
+constexpr std::chrono::seconds avoidance{60};
+
+}  // namespace
+
 const Claim* Slice::claimOf(std::uint32_t task) const {
     const auto found = std::find_if(claims.begin(), claims.end(),
                                     [task](const Claim& c) { return c.task == task; });
@@ -33,7 +42,7 @@
 }
 
 SliceContent Slice::content() const {
-    SliceContent content{part, range(), divided, done, {}};
+    SliceContent content{part, range(), divided, done, {}, failures};
     for (const auto& claim : claims)
         if (claim.durable) content.claims.push_back(claim);
     return content;
@@ -81,6 +90,18 @@
     return static_cast<std::uint32_t>(total);
 }
 
+bool Job::failing() const {
+    if (!failures.any || failures.disproved || doneTasks() > 0) return false;
+    std::uint32_t machines = 0;
+    for (const auto& slice : slices) machines += slice.failures;
+    return machines >= machinesThatBlameTheJob;
+}
+
+bool Job::avoids(const std::string& machine, SteadyTime now) const {
+    const auto found = failures.machines.find(machine);
+    return found != failures.machines.end() && now - found->second < avoidance;
+}
+
 Slice* Job::sliceOf(std::uint32_t task) {
     const auto holds = [task](const Slice& slice) { return slice.range().contains(task); };
     const auto at = task / sliceSize;
@@ -141,6 +162,7 @@
         for (const auto& claim : slice.claims)
             if (piece.range().contains(claim.task)) piece.claims.push_back(claim);
         piece.divided = slice.divided || !cuts.empty();
+        piece.failures = i == 0 ? slice.failures : 0;
         piece.version = i == 0 ? slice.version : 0;
         piece.dirty = slice.dirty;
         if (piece.dirty) piece.recorded = slice.recorded;
--- a/src/bookkeeping/job.h
+++ b/src/bookkeeping/job.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <deque>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -15,6 +16,7 @@
 using protocol::JobSpec;
 using protocol::Resources;
 using protocol::Seconds;
+using transport::Duration;
 using transport::SteadyTime;
 using transport::WallTime;
 
@@ -51,6 +53,7 @@
     bool divided = false;  // the range is not the one its index gives
     std::vector<bool> done;
     std::vector<Claim> claims;
+    std::uint32_t failures = 0;  // as in `Slice`
 };
 
 // Consecutive tasks of one job that have one owner and one record.
@@ -61,10 +64,11 @@
     std::vector<bool> done;
     std::uint32_t doneCount = 0;
     std::vector<Claim> claims;
-    bool divided = false;       // its range is not the one its index gives: the record names it
-    std::uint64_t version = 0;  // 0: no record; as in the job's record
-    bool dirty = false;         // changed since `version`; set by `touch` alone
-    SliceContent recorded;      // while dirty: the content as of `version`
+    std::uint32_t failures = 0;  // machines on which its tasks have failed
+    bool divided = false;        // its range is not the one its index gives: the record names it
+    std::uint64_t version = 0;   // 0: no record; as in the job's record
+    bool dirty = false;          // changed since `version`; set by `touch` alone
+    SliceContent recorded;       // while dirty: the content as of `version`
     std::optional<SteadyTime> dirtySince;  // as the recorder saw it
     std::optional<TaskRange> leaving;      // being pushed to a peer: not to be placed here
 
@@ -90,6 +94,15 @@
     [[nodiscard]] SliceContent content() const;
 };
 
+// What this process has seen of a job's failed tasks. The durable part is `Slice::failures`.
+struct FailureHistory {
+    std::map<std::string, SteadyTime> machines;  // where tasks failed, and when last
+    Duration longestRun{};                       // of a task that failed
+    int probes = 0;          // that have failed since the job was found to be failing
+    bool any = false;        // some slice has failures
+    bool disproved = false;  // a task has since run for longer than those that failed
+};
+
 struct Job {
     JobSpec spec;
     std::uint32_t part = 0;  // home: sees the job through
@@ -103,8 +116,7 @@
     // Not durable.
     bool finishing = false;
     SteadyTime notBefore{};  // backing off
-    int failures = 0;
-    std::set<std::string> failedOn;
+    FailureHistory failures;
     bool classed = false;         // counted among its class
     SteadyTime preemptedUntil{};  // others have been stopped for it
     std::string gatherZone;  // where a waiting gang that must stay in one zone gathers machines
@@ -123,6 +135,12 @@
     [[nodiscard]] std::uint32_t doneTasks() const;
     [[nodiscard]] std::uint32_t claimedTasks() const;
     [[nodiscard]] Slice* sliceOf(std::uint32_t task);
+    // Submitted with a mistake, as far as can be told: its tasks have failed on several machines
+    // and none was ever done. It is tried again now and then, one task at a time, and otherwise
+    // holds and asks for nothing.
+    [[nodiscard]] bool failing() const;
+    // Its tasks have lately failed on the machine.
+    [[nodiscard]] bool avoids(const std::string& machine, SteadyTime now) const;
     // The tasks of the slice with this index before any division; none: division has added it.
     [[nodiscard]] std::optional<TaskRange> undividedRange(std::uint32_t index) const;
     // The slice with this index, made as an empty one if need be.
--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -197,6 +197,8 @@
     shortenOthers(job, slice, content.range);
     for (const auto& claim : slice.claims) detach(job, claim);
     slice.part = content.part;
+    slice.failures = content.failures;
+    job.failures.any = job.failures.any || slice.failures > 0;
     slice.first = content.range.first;
     slice.divided = content.divided;
     slice.done = std::move(content.done);
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -70,8 +70,8 @@
     std::uint32_t reservedTasks = 0;
     Resources reservedRoom;
     SteadyTime reservedUntil{};
-    int errors = 0;                  // in a row
-    std::deque<CachedImage> images;  // most recently used first
+    std::set<std::string> failedJobs;  // whose tasks have failed here since one was done
+    std::deque<CachedImage> images;    // most recently used first
     std::vector<TaskRef> claims;
     Resources used;
 
@@ -153,10 +153,14 @@
     void addJob(Job job);
     // Cancelled for certain; in the records at this revision.
     bool noteCancellation(const std::string& id, std::uint64_t revision);
-    // Its tasks may have places: it waits for no other job, is not cancelled and has not ended.
-    [[nodiscard]] bool schedulable(const Job& job) const {
+    // Its tasks may be started: it waits for no other job, is not cancelled and has not ended.
+    [[nodiscard]] bool startable(const Job& job) const {
         return !job.waiting && !job.doomed && !job.finishing && !knownCancelled(job);
     }
+    // Its tasks may have places, and what it lacks may be asked for.
+    [[nodiscard]] bool schedulable(const Job& job) const {
+        return startable(job) && !job.failing();
+    }
     // Cancelled as far as anybody has told us, be it recorded here or not: its tasks are stopped
     // and none is started. What is recorded rests on `Job::cancelled` alone.
     [[nodiscard]] bool knownCancelled(const Job& job) const {
--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -22,6 +22,7 @@
 constexpr auto upgradedKey = "live/upgraded/";
 constexpr auto rangeFirst = "first";
 constexpr auto rangeCount = "count";
+constexpr auto failuresField = "failures";
 constexpr auto finalAt = "at";
 constexpr double bytesPerTask = 52;  // a claim with long names, plus its done range
 constexpr std::uint32_t smallSlice = 4;
@@ -239,6 +240,7 @@
     for (const auto& claim : slice.claims)
         claims.push_back({claim.task - slice.first, claim.machine, claim.attempt});
     Json value{{"part", slice.part}, {"done", std::move(done)}, {"claims", std::move(claims)}};
+    if (slice.failures > 0) value[failuresField] = slice.failures;
     if (slice.divided) {
         value[rangeFirst] = slice.first;
         value[rangeCount] = slice.size();
@@ -249,9 +251,12 @@
 std::optional<SliceContent> readSlice(const Job& job, std::uint32_t index, const Json& value) {
     const auto range = readRange(job, index, value);
     if (!range) return std::nullopt;
-    return SliceContent{static_cast<std::uint32_t>(countOf(value, "part")), *range,
-                        value.contains(rangeCount), readDone(value, range->count),
-                        readClaims(value, *range)};
+    return SliceContent{static_cast<std::uint32_t>(countOf(value, "part")),
+                        *range,
+                        value.contains(rangeCount),
+                        readDone(value, range->count),
+                        readClaims(value, *range),
+                        static_cast<std::uint32_t>(countOf(value, failuresField))};
 }
 
 Json machineValue(const Machine& machine) {
--- /dev/null
+++ b/src/coordination/failure_review.cpp
@@ -0,0 +1,99 @@
+#include "coordination/failure_review.h"
+
+#include <spdlog/spdlog.h>
+
+namespace fawnwheel::coordination {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t failedJobsToQuarantine = 2;
+constexpr auto quarantineTime = 10min;
+constexpr auto pauseAfterError = 3s;
+constexpr auto firstBackoff = 2s;
+constexpr auto longestBackoff = 60s;
+constexpr int mostDoublings = 5;
+
+}  // namespace
+
+void FailureReview::noteError(Ledger& ledger, Machine& machine, Job& job, Slice& slice,
+                              const Claim& claim) {
+    const auto now = context_.now();
+    auto& history = job.failures;
+    history.any = true;
+    history.disproved = false;
+    if (claim.ran) history.longestRun = std::max(history.longestRun, now - *claim.ran);
+    if (job.failing()) {
+        // Once for each probe, not for each task that was under way.
+        if (now >= job.notBefore) {
+            job.notBefore =
+                now +
+                std::min<Duration>(longestBackoff,
+                                   firstBackoff * (1 << std::min(history.probes, mostDoublings)));
+            ++history.probes;
+        }
+        return;
+    }
+    if (history.machines.insert_or_assign(machine.id, now).second) {
+        slice.touch();
+        ++slice.failures;
+    }
+    if (job.failing())
+        blameJob(ledger, job, slice.part);
+    else
+        blameMachine(machine, job);
+}
+
+void FailureReview::blameJob(Ledger& ledger, Job& job, std::uint32_t part) {
+    // Counted against the machines, one such job after the other had dozens of them replaced, with
+    // all that ran there (incident inc-59fe).
+    spdlog::info("job {}: fails on every machine, tried again now and then", job.spec.id);
+    job.notBefore = context_.now() + firstBackoff;
+    job.failures.machines.clear();
+    job.failures.probes = 1;
+    for (auto& [id, machine] : ledger.machines) machine.failedJobs.erase(job.spec.id);
+    for (auto& slice : job.slices) {
+        if (slice.part != part) continue;
+        for (auto& claim : slice.claims)
+            if (!claim.seen) claim.giveUp = true;
+    }
+}
+
+void FailureReview::blameMachine(Machine& machine, const Job& job) {
+    machine.failedJobs.insert(job.spec.id);
+    if (job.doneTasks() > 0 || machine.failedJobs.size() >= failedJobsToQuarantine)
+        quarantine(machine);
+    else
+        machine.notBefore = std::max(machine.notBefore, context_.now() + pauseAfterError);
+}
+
+void FailureReview::quarantine(Machine& machine) {
+    spdlog::info("machine {}: quarantined", machine.id);
+    machine.notBefore = context_.now() + quarantineTime;
+}
+
+void FailureReview::noteDone(Ledger& ledger, Machine& machine, Job& job) {
+    machine.failedJobs.clear();
+    // The job is sound: those that failed its tasks, and have done none since, are faulty.
+    for (const auto& [id, when] : job.failures.machines)
+        if (Machine* other = ledger.machine(id);
+            other != nullptr && other->failedJobs.contains(job.spec.id))
+            quarantine(*other);
+    job.failures.machines.clear();
+}
+
+void FailureReview::noteRunning(Job& job, Slice& slice, const Claim& claim) {
+    if (!job.failures.any || !job.failing() || !claim.ran) return;
+    const auto proof = job.failures.longestRun * 2 + ticks(context_.settings.report * 2);
+    if (context_.now() - *claim.ran <= proof) return;
+    spdlog::info("job {}: runs after all", job.spec.id);
+    job.failures.disproved = true;
+    for (auto& other : job.slices) {
+        if (other.part != slice.part || other.failures == 0) continue;
+        other.touch();
+        other.failures = 0;
+    }
+}
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/failure_review.h
@@ -0,0 +1,32 @@
+// Tells jobs with a mistake from faulty machines, by where tasks fail.
+//
+// A faulty machine fails the tasks of any job; a job with a mistake fails on any machine. A job
+// that has had a task done has no such mistake, so that its failures speak against the machines.
+// What fails on several machines without ever having been done is taken to be the job's fault
+// (`Job::failing`).
+#pragma once
+
+#include "coordination/context.h"
+
+namespace fawnwheel::coordination {
+
+class FailureReview {
+  public:
+    explicit FailureReview(Context& context) : context_(context) {}
+
+    // A task has ended with an error. Called before its claim is removed.
+    void noteError(Ledger& ledger, Machine& machine, Job& job, Slice& slice, const Claim& claim);
+    // A task has been done.
+    void noteDone(Ledger& ledger, Machine& machine, Job& job);
+    // A task runs: one that does so for longer than those that failed shows that the job is sound.
+    void noteRunning(Job& job, Slice& slice, const Claim& claim);
+
+  private:
+    void blameJob(Ledger& ledger, Job& job, std::uint32_t part);
+    void blameMachine(Machine& machine, const Job& job);
+    void quarantine(Machine& machine);
+
+    Context& context_;
+};
+
+}  // namespace fawnwheel::coordination
--- a/src/coordination/openings.cpp
+++ b/src/coordination/openings.cpp
@@ -58,7 +58,8 @@
 
 Resources Placement::roomOn(const Opening& opening, const Job& job) const {
     const Machine& machine = *opening.machine;
-    if (!mayUseLoan(job, machine) || job.failedOn.contains(machine.id)) return {};
+    if (!mayUseLoan(job, machine)) return {};
+    if (!job.failures.machines.empty() && job.avoids(machine.id, context_.now())) return {};
     return machine.reservedFor == job.spec.id ? opening.free : opening.open;
 }
 
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -15,6 +15,7 @@
 constexpr double unlimited = 1e12;
 constexpr double shareSlack = 1e-6;
 constexpr std::uint32_t placementsPerRun = 64;
+constexpr std::uint32_t unprovenTasks = 256;  // at a time, of a job that has shown no task to run
 // What has no aim (left) is served as if it had to start this long after its submission.
 constexpr Seconds patience{600};
 constexpr Seconds largestBegin{240};  // what the operators ask of a class's largest jobs
@@ -172,23 +173,51 @@
             largest = std::max(largest, job.spec.tasks);
         }
     for (auto& [id, job] : ledger.jobs) {
-        if (!ledger.schedulable(job) || now < job.notBefore) continue;
+        if (!ledger.startable(job) || now < job.notBefore) continue;
         if (job.spec.kind == JobKind::gang && job.anyClaim()) {
             if (job.part == part) stopBrokenGang(job);
             continue;
         }
+        if (job.failing()) {
+            if (mayProbe(job, part)) ready.push_back({&job, 1, latestStart(job), true});
+            continue;
+        }
         std::uint32_t tasks = 0;
         for (const auto& slice : job.slices)
             if (slice.part == part) tasks += slice.waiting();
         if (tasks > 0) ready.push_back({&job, tasks, latestStart(job)});
     }
     std::sort(ready.begin(), ready.end(), [](const Ready& a, const Ready& b) {
-        return std::tie(a.job->priority, a.latest, a.job->spec.id) <
-               std::tie(b.job->priority, b.latest, b.job->spec.id);
+        return std::tie(a.probe, a.job->priority, a.latest, a.job->spec.id) <
+               std::tie(b.probe, b.job->priority, b.latest, b.job->spec.id);
     });
     return ready;
 }
 
+bool Placement::mayProbe(const Job& job, std::uint32_t part) {
+    // One task at a time for the whole job, wherever its slices lie: by the first that waits.
+    if (job.anyClaim()) return false;
+    const auto first = std::find_if(job.slices.begin(), job.slices.end(),
+                                    [](const Slice& slice) { return slice.waiting() > 0; });
+    return first != job.slices.end() && first->part == part;
+}
+
+std::uint32_t Placement::mostToPlace(const Ready& ready) const {
+    if (ready.probe) return 1;
+    const Job& job = *ready.job;
+    if (job.spec.tasks <= unprovenTasks || job.doneTasks() > 0) return placementsPerRun;
+    // Of a large array with a mistake not all tasks have to fail to show it.
+    const auto now = context_.now();
+    std::uint32_t claimed = 0;
+    for (const auto& slice : job.slices)
+        for (const auto& claim : slice.claims) {
+            if (claim.ran && now - *claim.ran > ticks(context_.settings.report * 2))
+                return placementsPerRun;
+            ++claimed;
+        }
+    return std::min(placementsPerRun, unprovenTasks - std::min(unprovenTasks, claimed));
+}
+
 void Placement::stopBrokenGang(Job& job) {
     if (job.complete() || job.claimedTasks() == job.spec.tasks) return;
     // The rest would wait for a task that does not come back under this attempt.
@@ -229,7 +258,7 @@
 bool Placement::allowed(const Job& job, const Machine& machine) const {
     const auto* type = context_.type(machine.type);
     if (type == nullptr || !typeAllowed(job.spec, *type, machine.zone, machine.spot)) return false;
-    if (job.failedOn.contains(machine.id)) return false;
+    if (job.avoids(machine.id, context_.now())) return false;
     if (!mayUseLoan(job, machine)) return false;
     Resources room = type->capacity;
     room -= machine.used;
@@ -257,7 +286,7 @@
 
 Placement::Placed Placement::placeArray(Ledger& ledger, std::uint32_t part, Job& job,
                                         Openings& openings, const Rivals& rivals, Resources& left,
-                                        bool& overShare, bool cachedOnly) {
+                                        bool& overShare, bool cachedOnly, std::uint32_t most) {
     auto zoneUse = zoneUseOf(ledger, job);
     Placed placed;
     std::optional<std::uint32_t> mayWait;  // worked out when the first would have to fetch
@@ -266,7 +295,7 @@
         for (std::uint32_t i = 0; i < slice.done.size(); ++i) {
             const auto task = slice.first + i;
             if (!slice.unstarted(task) || slice.isLeaving(task)) continue;
-            if (placed.tasks >= placementsPerRun) return placed;
+            if (placed.tasks >= most) return placed;
             if (!job.spec.each.fits(left)) {
                 overShare = true;
                 return placed;
@@ -377,18 +406,20 @@
         Job& job = *ready.job;
         bool overShare = false;
         if (job.spec.kind != JobKind::gang) {
-            const bool cachedOnly = letsCachedGoFirst(job);
+            const bool cachedOnly = !ready.probe && letsCachedGoFirst(job);
             const auto placed = placeArray(*ledger, part, job, openings, rivals, leftFor(job),
-                                           overShare, cachedOnly);
+                                           overShare, cachedOnly, mostToPlace(ready));
             ready.tasks -= placed.tasks + placed.waiting;
             if (ready.tasks == 0) continue;
+            if (ready.probe) continue;
             if (cachedOnly && !overShare)
                 toFetch.push_back(ready);
             else
                 unplaced.push_back({job.spec.id, ready.tasks, overShare, false, {}, false, 0});
             continue;
         }
-        if (placeGang(*ledger, part, job, openings, leftFor(job), overShare)) continue;
+        if (placeGang(*ledger, part, job, openings, leftFor(job), overShare) || ready.probe)
+            continue;
         // One task alone gathers nothing and lies in one zone anyway.
         if (job.spec.tasks == 1 || overShare) {
             unplaced.push_back({job.spec.id, ready.tasks, overShare, false, {}, false, 0});
@@ -407,8 +438,8 @@
     for (auto& ready : toFetch) {
         Job& job = *ready.job;
         bool overShare = false;
-        const auto placed =
-            placeArray(*ledger, part, job, openings, rivals, leftFor(job), overShare, false);
+        const auto placed = placeArray(*ledger, part, job, openings, rivals, leftFor(job),
+                                       overShare, false, mostToPlace(ready));
         ready.tasks -= placed.tasks + placed.waiting;
         if (ready.tasks > 0)
             unplaced.push_back({job.spec.id, ready.tasks, overShare, false, {}, false, 0});
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -77,6 +77,7 @@
         Job* job = nullptr;
         std::uint32_t tasks = 0;
         transport::WallTime latest;
+        bool probe = false;  // a try of a job that fails everywhere: after all others
     };
 
     // A part's machines that take work, by kind, with the room on them. Made once for a run: with
@@ -107,6 +108,10 @@
     // Of the gangs of its class seen so far.
     [[nodiscard]] bool isLargest(const Job& job) const;
     std::vector<Ready> readyJobs(Ledger& ledger, std::uint32_t part);
+    // Whether a failing job may be tried once more, by this part.
+    [[nodiscard]] static bool mayProbe(const Job& job, std::uint32_t part);
+    // How many tasks of an array may get places in one run.
+    [[nodiscard]] std::uint32_t mostToPlace(const Ready& ready) const;
     // How many of a job's tasks do better to wait for machines that have its image.
     [[nodiscard]] std::uint32_t worthWaiting(const Openings& openings, const Job& job) const;
     struct Placed {
@@ -114,7 +119,8 @@
         std::uint32_t waiting = 0;  // for a machine with the image, rather than elsewhere
     };
     Placed placeArray(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
-                      const Rivals& rivals, Resources& left, bool& overShare, bool cachedOnly);
+                      const Rivals& rivals, Resources& left, bool& overShare, bool cachedOnly,
+                      std::uint32_t most);
     // Whether others that need no fetch may go first where this job would have to fetch.
     [[nodiscard]] bool letsCachedGoFirst(const Job& job) const;
     bool placeGang(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -36,7 +36,7 @@
     double bestLoss = std::numeric_limits<double>::max();
     const auto consider = [&](const Opening& opening) {
         Machine& machine = *opening.machine;
-        if (now < machine.reservedUntil || job.failedOn.contains(machine.id) ||
+        if (now < machine.reservedUntil || job.avoids(machine.id, now) ||
             (machine.lender && job.spec.kind != JobKind::gang))
             return;
         std::vector<Victim> candidates;
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -20,11 +20,7 @@
 constexpr int answersBelieved = 3;  // without any effect
 constexpr auto worthARequest = 1s;  // until its next report is due
 constexpr auto refusedPause = 3s;   // a machine that had no room, or knew no such job
-constexpr int errorsToQuarantine = 2;
-constexpr auto quarantine = 10min;
-constexpr double waitsOn = 4;  // times what a task of a gang waits for the others
-constexpr auto firstBackoff = 2s;
-constexpr auto longestBackoff = 60s;
+constexpr double waitsOn = 4;       // times what a task of a gang waits for the others
 
 ReportAnswer misdirected(const std::string& node) {
     return {421, protocol::encodeCbor(protocol::encodeReportTo(node))};
@@ -212,6 +208,7 @@
         spdlog::debug("task {}/{}: runs on {}, {:.1f} s after its placement", task.job, task.index,
                       machine.id, Seconds(*claim->ran - claim->made).count());
     }
+    if (task.state == TaskState::running) failures_.noteRunning(*job, *slice, *claim);
     if (knownCancelled || machine.retired)
         commands.push_back({CommandKind::stop, task.job, task.index, task.attempt, {}});
     else if (claim->stopGrace && task.state != TaskState::saving)
@@ -244,9 +241,9 @@
                   static_cast<int>(task.cause));
     switch (task.cause) {
         case ExitCause::done:
-            machine.errors = 0;
             slice.touch();
             slice.markDone(task.index);
+            failures_.noteDone(ledger, machine, job);
             // The tasks of a gang complete together.
             if (job.spec.kind == protocol::JobKind::gang)
                 for (auto& other : job.slices) {
@@ -256,20 +253,7 @@
                 }
             break;
         case ExitCause::error:
-            job.failedOn.insert(machine.id);
-            ++job.failures;
-            // A faulty machine fails the tasks of any job; a job with a mistake fails anywhere
-            // and must not drive all machines into quarantine.
-            if (job.failedOn.size() < 3 && ++machine.errors >= errorsToQuarantine) {
-                spdlog::info("machine {}: quarantined", machine.id);
-                machine.notBefore = now + quarantine;
-            } else {
-                machine.notBefore = std::max(machine.notBefore, now + refusedPause);
-            }
-            if (job.failedOn.size() >= 3)
-                job.notBefore =
-                    now + std::min<Duration>(longestBackoff,
-                                             firstBackoff * (1 << std::min(job.failures, 5)));
+            failures_.noteError(ledger, machine, job, slice, claim);
             break;
         case ExitCause::noRoom:
         case ExitCause::busy:
@@ -289,7 +273,7 @@
 }
 
 bool Reports::startable(const Ledger& ledger, const Job& job, const Claim& claim) {
-    if (!claim.durable || claim.giveUp || claim.stopGrace || !ledger.schedulable(job)) return false;
+    if (!claim.durable || claim.giveUp || claim.stopGrace || !ledger.startable(job)) return false;
     if (job.spec.kind != protocol::JobKind::gang) return true;
     // A gang is started only when every task has its durable place.
     std::size_t placed = 0;
--- a/src/coordination/reports.h
+++ b/src/coordination/reports.h
@@ -1,6 +1,7 @@
 // Workers' reports: what they prove, and the commands they are answered with.
 #pragma once
 
+#include "coordination/failure_review.h"
 #include "coordination/membership.h"
 #include "coordination/recorder.h"
 
@@ -14,7 +15,7 @@
 class Reports {
   public:
     Reports(Context& context, Membership& membership, Recorder& recorder)
-        : context_(context), membership_(membership), recorder_(recorder) {}
+        : context_(context), membership_(membership), recorder_(recorder), failures_(context) {}
 
     ReportAnswer handle(const protocol::WorkerReport& report);
     // A part has come to this process: whatever was known of its machines must be proved anew.
@@ -59,6 +60,7 @@
     Context& context_;
     Membership& membership_;
     Recorder& recorder_;
+    FailureReview failures_;
 };
 
 }  // namespace fawnwheel::coordination
