--- a/tests/unit/failures_test.cpp
+++ b/tests/unit/failures_test.cpp
@@ -12,6 +12,10 @@
   protected:
     FailingJob() {
         job.spec.id = "run-1";
+        job.spec.jobClass = "class";
+        job.spec.team = "crew";
+        job.spec.image = "image";
+        job.spec.each = {1, 0, 1};
         job.spec.tasks = 8;
         job.sliceSize = 4;
         job.slices = makeSlices(job.spec, 4, 0);
