--- a/src/coordination/openings.cpp
+++ b/src/coordination/openings.cpp
@@ -14,6 +14,7 @@
 constexpr double sharedFetch = 0.4;        // of a fetch that another task has begun
 constexpr double idleGpuSeconds = 25;      // what using up a GPU machine's CPUs counts as
 constexpr double closedPlaceSeconds = 30;  // what closing a place for larger tasks counts as
+constexpr auto guestPatience = std::chrono::seconds(120);  // until places of others may be closed
 constexpr double emptyMachineSeconds = 4;  // what breaking into an empty machine counts as
 
 }  // namespace
@@ -140,25 +141,43 @@
     return largest;
 }
 
-std::uint32_t Placement::placesClosed(const Rivals& rivals, const OpenKind& kind,
-                                      const Opening& opening, const Job& job) {
+Placement::ClosedPlaces Placement::placesClosed(const Rivals& rivals, const MachineType& type,
+                                                const std::string& zone, bool spot,
+                                                const Resources& free, const Job& job) {
     // Small tasks spread over large machines left no room for a large one on any of them.
-    std::uint32_t closed = 0;
-    Resources after = opening.free;
+    ClosedPlaces closed;
+    Resources after = free;
     after -= job.spec.each;
     for (const auto* rival : rivals) {
         if (rival->spec.jobClass == job.spec.jobClass || rival->priority > job.priority ||
-            rival->spec.each.fits(job.spec.each) || !rival->spec.each.fits(opening.free) ||
-            !typeAllowed(rival->spec, *kind.type, kind.zone, kind.spot))
+            rival->spec.each.fits(job.spec.each) || !rival->spec.each.fits(free) ||
+            !typeAllowed(rival->spec, type, zone, spot))
             continue;
-        closed += fitsIn(*rival, opening.free, rival->spec.tasks) -
-                  fitsIn(*rival, after, rival->spec.tasks);
+        const auto count =
+            fitsIn(*rival, free, rival->spec.tasks) - fitsIn(*rival, after, rival->spec.tasks);
+        closed.all += count;
+        if (rival->spec.team != job.spec.team && rival->priority < job.priority)
+            closed.ofHosts += count;
     }
     return closed;
 }
 
+bool Placement::isGuest(const Job& job) const {
+    const auto* team = context_.team(job.spec.team);
+    return job.priority == protocol::Priority::low && job.spec.kind == JobKind::array &&
+           (team == nullptr || (team->cpus <= 0 && team->gpus <= 0));
+}
+
+bool Placement::isStarving(const Job& job, std::uint32_t part) const {
+    if (context_.timers.wallNow() - job.readySince < guestPatience) return false;
+    return std::none_of(job.slices.begin(), job.slices.end(), [part](const Slice& slice) {
+        return slice.part == part && !slice.claims.empty();
+    });
+}
+
 Placement::Opening* Placement::choose(Ledger& ledger, Openings& openings, const Job& job,
-                                      const Rivals& rivals, const ZoneUse& zoneUse) const {
+                                      const Rivals& rivals, const ZoneUse& zoneUse,
+                                      bool yields) const {
     Opening* best = nullptr;
     double bestCost = std::numeric_limits<double>::max();
     for (auto& kind : openings) {
@@ -166,8 +185,11 @@
         for (auto& opening : kind.machines) {
             if (!job.spec.each.fits(opening.free) || !job.spec.each.fits(roomOn(opening, job)))
                 continue;
-            const double value = cost(ledger, job, *opening.machine, *kind.type) +
-                                 closedPlaceSeconds * placesClosed(rivals, kind, opening, job);
+            const auto closed =
+                placesClosed(rivals, *kind.type, kind.zone, kind.spot, opening.free, job);
+            if (yields && closed.ofHosts > 0) continue;
+            const double value =
+                cost(ledger, job, *opening.machine, *kind.type) + closedPlaceSeconds * closed.all;
             if (value < bestCost) {
                 bestCost = value;
                 best = &opening;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -15,6 +15,7 @@
 constexpr double unlimited = 1e12;
 constexpr double shareSlack = 1e-6;
 constexpr std::uint32_t placementsPerRun = 64;
+constexpr std::uint32_t starvingTasks = 8;    // of a guest, at a time on a part
 constexpr std::uint32_t unprovenTasks = 256;  // at a time, of a job that has shown no task to run
 // What has no aim (left) is served as if it had to start this long after its submission.
 constexpr Seconds patience{600};
@@ -288,6 +289,11 @@
                                         Openings& openings, const Rivals& rivals, Resources& left,
                                         bool& overShare, bool cachedOnly, std::uint32_t most) {
     auto zoneUse = zoneUseOf(ledger, job);
+    // The hosts' places stay open for what comes next. What finds none otherwise takes a few of
+    // them, so that a guest never waits for good.
+    const bool guest = isGuest(job);
+    const bool yields = guest && !isStarving(job, part);
+    if (guest && !yields) most = std::min(most, starvingTasks);
     Placed placed;
     std::optional<std::uint32_t> mayWait;  // worked out when the first would have to fetch
     for (auto& slice : job.slices) {
@@ -300,7 +306,7 @@
                 overShare = true;
                 return placed;
             }
-            Opening* opening = choose(ledger, openings, job, rivals, zoneUse);
+            Opening* opening = choose(ledger, openings, job, rivals, zoneUse, yields);
             if (opening == nullptr) return placed;
             const Machine* machine = opening->machine;
             if (!hasImage(ledger, *machine, job)) {
@@ -356,7 +362,7 @@
         for (auto& slice : job.slices) {
             dirty.push_back(slice.dirty);
             for (std::uint32_t i = 0; i < slice.done.size(); ++i) {
-                Opening* opening = choose(ledger, openings, job, {}, use);
+                Opening* opening = choose(ledger, openings, job, {}, use, false);
                 if (opening == nullptr) break;
                 Claim claim;
                 claim.task = slice.first + i;
@@ -453,6 +459,7 @@
     std::uint32_t room = 0;
     // Of a peer's machines only the records are known, not whether they report.
     const bool own = membership_.active(part);
+    const auto rivals = isGuest(job) ? largestOfClasses(*ledger) : Rivals();
     for (const auto* machine : ledger->machinesOf(part)) {
         if (machine->retired || (own && !takesWork(*machine)) || !mayUseLoan(job, *machine))
             continue;
@@ -461,7 +468,12 @@
             continue;
         Resources free = type->capacity;
         free -= machine->used;
-        room += fitsIn(job, free, most - room);
+        const auto fits = fitsIn(job, free, most - room);
+        for (std::uint32_t i = 0; i < fits; ++i, free -= job.spec.each, ++room)
+            if (!rivals.empty() &&
+                placesClosed(rivals, *type, machine->zone, machine->spot, free, job).ofHosts > 0)
+                break;
+        if (room >= most) break;
     }
     return room;
 }
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -143,12 +143,22 @@
     [[nodiscard]] static protocol::Priority lowestRunning(const Ledger& ledger, std::uint32_t part);
     bool makeRoom(Ledger& ledger, const Openings& openings, const Job& job,
                   std::set<std::string>& machines);
+    // `yields`: it closes no places of other teams' larger tasks that go before it.
     [[nodiscard]] Opening* choose(Ledger& ledger, Openings& openings, const Job& job,
-                                  const Rivals& rivals, const ZoneUse& zoneUse) const;
+                                  const Rivals& rivals, const ZoneUse& zoneUse, bool yields) const;
     [[nodiscard]] static Rivals largestOfClasses(const Ledger& ledger);
-    // How many places for others' larger tasks a task of the job would close there.
-    [[nodiscard]] static std::uint32_t placesClosed(const Rivals& rivals, const OpenKind& kind,
-                                                    const Opening& opening, const Job& job);
+    // How many places for others' larger tasks a task of the job would close.
+    struct ClosedPlaces {
+        std::uint32_t all = 0;
+        std::uint32_t ofHosts = 0;  // of other teams, and more urgent
+    };
+    [[nodiscard]] static ClosedPlaces placesClosed(const Rivals& rivals, const MachineType& type,
+                                                   const std::string& zone, bool spot,
+                                                   const Resources& free, const Job& job);
+    // An array of the lowest priority, of a team without a guarantee: it uses what is left over.
+    [[nodiscard]] bool isGuest(const Job& job) const;
+    // It has waited for long, and no task of it has a place on the part.
+    [[nodiscard]] bool isStarving(const Job& job, std::uint32_t part) const;
     // What a claim takes of an opening, and gives back.
     static void take(Opening& opening, const Resources& each);
     static void giveBack(Opening& opening, const Resources& each);
