Guests may use places beyond what hosts wait for; each class of request has its own limit

Now places beyond what waits and one more slice may be closed, and after a minute a few tasks of each guest's job may close any. Submissions, questions and cancellations have a limit in progress each; lookups that decide go before questions. Names of gone machines are kept in proportion to the fleet; a whole fleet fits into the listen queue.

--- a/src/bookkeeping/ledger.cpp
+++ b/src/bookkeeping/ledger.cpp
@@ -9,7 +9,7 @@
 void GoneMachines::insert(const std::string& id) {
     if (!known_.insert(id).second) return;
     order_.push_back(id);
-    if (order_.size() <= mostKept) return;
+    if (order_.size() <= std::max(leastKept, mostMachines_ * 2)) return;
     // The one that went first, whatever its name: the smallest name was once forgotten instead, and
     // that could be the one just added, which a lagging list then brought back.
     known_.erase(order_.front());
@@ -68,6 +68,7 @@
     }
     added.id = id;
     added.part = part;
+    goneMachines.noteFleet(machines.size());
     byPart_[part].push_back(&added);
     return added;
 }
--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -104,15 +104,19 @@
     std::uint32_t part = 0;
 };
 
-// Names of machines that are gone, as many as a lagging list may still show.
+// Names of machines that are gone, as many as a lagging list may still show: at least as many as
+// there were at the same time.
 class GoneMachines {
   public:
     void insert(const std::string& id);
+    // So many machines are known.
+    void noteFleet(std::size_t machines) { mostMachines_ = std::max(mostMachines_, machines); }
     [[nodiscard]] bool contains(const std::string& id) const { return known_.contains(id); }
 
   private:
-    static constexpr std::size_t mostKept = 4000;
+    static constexpr std::size_t leastKept = 4000;
 
+    std::size_t mostMachines_ = 0;
     std::deque<std::string> order_;
     std::unordered_set<std::string> known_;
 };
--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -44,10 +44,10 @@
     if (active_ > 0) --active_;
 }
 
-HttpReply Admission::limited(HttpReply reply) {
-    limit_.begin();
-    return [this, began = context_.now(), reply = std::move(reply)](HttpResponse response) {
-        limit_.end(context_.now() - began);
+HttpReply Admission::limited(AdaptiveLimit& limit, HttpReply reply) {
+    limit.begin();
+    return [this, &limit, began = context_.now(), reply = std::move(reply)](HttpResponse response) {
+        limit.end(context_.now() - began);
         reply(std::move(response));
     };
 }
@@ -99,22 +99,23 @@
         return reply(stateOf(spec.id, *final, true));
     if (!recordable(spec)) return reply({400, {}, 0});
     // Answered at once when we can't take it: the user is told when to come again.
-    if (!synced() || !context_.state.reachable() || limit_.full()) return reply(later());
-    reply = limited(std::move(reply));
+    if (!synced() || !context_.state.reachable() || submissions_.full()) return reply(later());
+    reply = limited(submissions_, std::move(reply));
     // A job that was accepted once is known, whatever the catalog or the teams say by now.
     if (context_.ledger.lock()->job(spec.id) != nullptr) return tellKnown(spec.id, reply);
     if (auto refusal = check(spec))
-        return lookup_.find(spec.id, [this, id = spec.id, refusal, reply](JobStatus status) {
-            if (status == JobStatus::noAnswer) return reply(later());
-            if (status == JobStatus::unknownJob) return reply(*refusal);
-            tell(id, status, true, reply);
-        });
+        return lookup_.find(spec.id, LookupPurpose::decision,
+                            [this, id = spec.id, refusal, reply](JobStatus status) {
+                                if (status == JobStatus::noAnswer) return reply(later());
+                                if (status == JobStatus::unknownJob) return reply(*refusal);
+                                tell(id, status, true, reply);
+                            });
     accept(std::make_shared<Submission>(
         Submission{std::move(spec), std::move(reply), 0, std::map<std::string, bool>{}}));
 }
 
 void Admission::tellKnown(const std::string& id, const HttpReply& reply) {
-    lookup_.find(id, [this, id, reply](JobStatus status) {
+    lookup_.find(id, LookupPurpose::decision, [this, id, reply](JobStatus status) {
         if (status == JobStatus::unknownJob) return reply(later());
         tell(id, status, true, reply);
     });
@@ -170,7 +171,7 @@
     auto gather = std::make_shared<Gather>();
     gather->left = predecessors.size();
     for (const auto& id : predecessors)
-        lookup_.find(id, [this, submission, gather, id](JobStatus status) {
+        lookup_.find(id, LookupPurpose::decision, [this, submission, gather, id](JobStatus status) {
             if (status == JobStatus::finalDone || status == JobStatus::finalCancelled)
                 submission->finals[id] = status == JobStatus::finalCancelled;
             // Only the state service itself can say that a job was never accepted.
@@ -284,20 +285,21 @@
 void Admission::ask(const std::string& id, HttpReply reply) {
     if (!protocol::validJobId(id)) return reply({404, {}, 0});
     if (const auto final = lookup_.knownFinal(id)) return reply(stateOf(id, *final, false));
-    if (!synced() || limit_.full()) return reply(later());
-    reply = limited(std::move(reply));
-    lookup_.find(id, [this, id, reply](JobStatus status) { tell(id, status, false, reply); });
+    if (!synced() || questions_.full()) return reply(later());
+    reply = limited(questions_, std::move(reply));
+    lookup_.find(id, LookupPurpose::question,
+                 [this, id, reply](JobStatus status) { tell(id, status, false, reply); });
 }
 
 void Admission::cancel(const std::string& id, HttpReply reply) {
     if (!protocol::validJobId(id)) return reply({404, {}, 0});
     if (const auto final = lookup_.knownFinal(id)) return reply(stateOf(id, *final, true));
-    if (!synced() || limit_.full()) return reply(later());
-    tryCancel(id, 0, limited(std::move(reply)));
+    if (!synced() || cancellations_.full()) return reply(later());
+    tryCancel(id, 0, limited(cancellations_, std::move(reply)));
 }
 
 void Admission::tryCancel(const std::string& id, int tries, const HttpReply& reply) {
-    lookup_.find(id, [this, id, tries, reply](JobStatus status) {
+    lookup_.find(id, LookupPurpose::decision, [this, id, tries, reply](JobStatus status) {
         if (status != JobStatus::active) return tell(id, status, true, reply);
         protocol::Transaction transaction;
         protocol::Json value;
--- a/src/coordination/admission.h
+++ b/src/coordination/admission.h
@@ -65,7 +65,7 @@
               const transport::HttpReply& reply);
     void tellKnown(const std::string& id, const transport::HttpReply& reply);
     void tryCancel(const std::string& id, int tries, const transport::HttpReply& reply);
-    transport::HttpReply limited(transport::HttpReply reply);
+    [[nodiscard]] transport::HttpReply limited(AdaptiveLimit& limit, transport::HttpReply reply);
     [[nodiscard]] std::optional<transport::HttpResponse> check(const protocol::JobSpec& spec) const;
     // Whether the job's record, and the conditions for creating it, are within the limits.
     [[nodiscard]] bool recordable(const protocol::JobSpec& spec) const;
@@ -81,7 +81,10 @@
     Context& context_;
     JobLookup& lookup_;
     Moves& moves_;
-    AdaptiveLimit limit_;
+    // Each its own: users who ask again and again took the places of those who submit or call off.
+    AdaptiveLimit submissions_;
+    AdaptiveLimit questions_;
+    AdaptiveLimit cancellations_;
 };
 
 }  // namespace fawnwheel::coordination
--- a/src/coordination/job_lookup.cpp
+++ b/src/coordination/job_lookup.cpp
@@ -10,8 +10,8 @@
 
 using protocol::StateResult;
 
-constexpr std::size_t maxFinals = 4000;
-constexpr std::size_t maxQuestions = 2000;
+// About 100 bytes each; what is asked about again after more jobs have ended costs a read.
+constexpr std::size_t maxFinals = 20'000;
 constexpr int maxTries = 4;
 constexpr double pollsShareOfRequests = 0.3;
 constexpr Seconds longestGathering{0.25};
@@ -35,13 +35,13 @@
 }
 
 void JobLookup::askAgain(const Question& question) {
-    ask({question.id, question.done, question.tries + 1});
+    ask({question.id, question.purpose, question.done, question.tries + 1});
 }
 
 void JobLookup::ask(Question question) {
-    if (question.tries >= maxTries || questions_.size() >= maxQuestions)
-        return question.done(JobStatus::noAnswer);
-    questions_.push_back(std::move(question));
+    if (question.tries >= maxTries) return question.done(JobStatus::noAnswer);
+    auto& queue = question.purpose == LookupPurpose::decision ? decisions_ : questions_;
+    queue.push_back(std::move(question));
     if (flushing_) return;
     flushing_ = true;
     // Questions are gathered for a moment: one comparing request answers many of them.
@@ -54,16 +54,20 @@
 }
 
 void JobLookup::flush() {
+    flushQueue(decisions_, protocol::Urgency::userRequest);
+    flushQueue(questions_, protocol::Urgency::read);
+}
+
+void JobLookup::flushQueue(std::deque<Question>& queue, protocol::Urgency urgency) {
     const auto most = context_.settings.transactionConditions();
-    while (!questions_.empty()) {
+    while (!queue.empty()) {
         protocol::Transaction compare;
         auto batch = std::make_shared<std::vector<Asked>>();
         {
             auto ledger = context_.ledger.lock();
-            while (!questions_.empty() &&
-                   compare.conditions.size() + conditionsPerQuestion <= most) {
-                Question question = std::move(questions_.front());
-                questions_.pop_front();
+            while (!queue.empty() && compare.conditions.size() + conditionsPerQuestion <= most) {
+                Question question = std::move(queue.front());
+                queue.pop_front();
                 const Job* job = ledger->job(question.id);
                 const auto key = bookkeeping::keys::job(question.id);
                 if (job != nullptr) {
@@ -75,7 +79,7 @@
                 batch->push_back({std::move(question), job != nullptr});
             }
         }
-        context_.state.transact(std::move(compare), protocol::Urgency::read,
+        context_.state.transact(std::move(compare), urgency,
                                 [this, batch](const protocol::TransactionAnswer& answer) {
                                     for (const auto& asked : *batch) settle(asked, answer);
                                 });
--- a/src/coordination/job_lookup.h
+++ b/src/coordination/job_lookup.h
@@ -22,14 +22,22 @@
     noAnswer,  // can't be told now
 };
 
+enum class LookupPurpose {
+    decision,  // a submission or a cancellation waits for it: before all questions
+    question,  // a user only wants to know
+};
+
 class JobLookup {
   public:
     using Done = std::function<void(JobStatus)>;
 
     explicit JobLookup(Context& context) : context_(context) {}
 
-    void find(const std::string& id, Done done) { ask({id, std::move(done), 0}); }
-    // Final states never change, so that the latest of them are kept.
+    // Callers bound how many are in progress (`AdaptiveLimit`).
+    void find(const std::string& id, LookupPurpose purpose, Done done) {
+        ask({id, purpose, std::move(done), 0});
+    }
+    // Final states never change, so that the latest of them are kept. Older ones are read again.
     void noteFinal(const std::string& id, bool cancelled);
     [[nodiscard]] std::optional<JobStatus> knownFinal(const std::string& id) const;
 
@@ -39,6 +47,7 @@
   private:
     struct Question {
         std::string id;
+        LookupPurpose purpose = LookupPurpose::question;
         Done done;
         int tries = 0;
     };
@@ -50,6 +59,7 @@
     void ask(Question question);
     void askAgain(const Question& question);
     void flush();
+    void flushQueue(std::deque<Question>& queue, protocol::Urgency urgency);
     [[nodiscard]] static bool failed(const protocol::TransactionAnswer& answer,
                                      const std::string& id);
     void settle(const Asked& asked, const protocol::TransactionAnswer& answer);
@@ -59,6 +69,7 @@
     [[nodiscard]] JobStatus statusOf(const Job& job) const;
 
     Context& context_;
+    std::deque<Question> decisions_;
     std::deque<Question> questions_;
     bool flushing_ = false;
     std::unordered_map<std::string, bool> finals_;  // cancelled?
--- a/src/coordination/openings.cpp
+++ b/src/coordination/openings.cpp
@@ -14,7 +14,8 @@
 constexpr double sharedFetch = 0.4;        // of a fetch that another task has begun
 constexpr double idleGpuSeconds = 25;      // what using up a GPU machine's CPUs counts as
 constexpr double closedPlaceSeconds = 30;  // what closing a place for larger tasks counts as
-constexpr auto guestPatience = std::chrono::seconds(120);  // until places of others may be closed
+constexpr std::size_t guestTasks = 32;     // of a job on a part that may close places of hosts
+constexpr auto guestPatience = std::chrono::seconds(60);  // until places of others may be closed
 constexpr double emptyMachineSeconds = 4;  // what breaking into an empty machine counts as
 
 }  // namespace
@@ -130,33 +131,67 @@
     for (const auto& entry : ledger.jobs) {
         const Job& job = entry.second;
         if (!ledger.schedulable(job)) continue;
-        const auto same = std::find_if(largest.begin(), largest.end(), [&](const Job* other) {
-            return other->spec.jobClass == job.spec.jobClass;
+        const auto same = std::find_if(largest.begin(), largest.end(), [&](const Rival& other) {
+            return other.job->spec.jobClass == job.spec.jobClass;
         });
         if (same == largest.end())
-            largest.push_back(&job);
-        else if (job.spec.each.cpus > (*same)->spec.each.cpus)
-            *same = &job;
+            largest.push_back({&job, 0});
+        else if (job.spec.each.cpus > same->job->spec.each.cpus)
+            same->job = &job;
     }
     return largest;
 }
 
+void Placement::countSpare(Rivals& rivals, const Openings& openings, const Ledger& ledger,
+                           std::uint32_t part) const {
+    for (auto& rival : rivals) {
+        const auto& spec = rival.job->spec;
+        std::uint32_t needed = 0;
+        std::uint32_t largest = 0;
+        for (const auto& [id, job] : ledger.jobs) {
+            if (job.spec.jobClass != spec.jobClass || !ledger.schedulable(job)) continue;
+            // As much of a job as comes to one part together.
+            largest = std::max(largest, std::min(job.spec.tasks, job.sliceSize));
+            for (const auto& slice : job.slices)
+                if (slice.part == part) needed += slice.waiting();
+        }
+        needed += largest;
+        std::uint32_t places = 0;
+        for (const auto& kind : openings) {
+            if (!typeAllowed(spec, *kind.type, kind.zone, kind.spot)) continue;
+            for (const auto& opening : kind.machines)
+                places += fitsIn(*rival.job, opening.open, spec.tasks);
+        }
+        rival.spare = places > needed ? places - needed : 0;
+    }
+}
+
+bool Placement::mayLosePlaces(const Rival& rival, const Job& job) {
+    return rival.job->spec.jobClass != job.spec.jobClass && rival.job->priority <= job.priority &&
+           !rival.job->spec.each.fits(job.spec.each);
+}
+
+std::uint32_t Placement::placesClosed(const Rival& rival, const MachineType& type,
+                                      const std::string& zone, bool spot, const Resources& free,
+                                      const Job& job) {
+    const auto& spec = rival.job->spec;
+    if (!mayLosePlaces(rival, job) || !spec.each.fits(free) || !typeAllowed(spec, type, zone, spot))
+        return 0;
+    Resources after = free;
+    after -= job.spec.each;
+    return fitsIn(*rival.job, free, spec.tasks) - fitsIn(*rival.job, after, spec.tasks);
+}
+
 Placement::ClosedPlaces Placement::placesClosed(const Rivals& rivals, const MachineType& type,
                                                 const std::string& zone, bool spot,
                                                 const Resources& free, const Job& job) {
     // Small tasks spread over large machines left no room for a large one on any of them.
     ClosedPlaces closed;
-    Resources after = free;
-    after -= job.spec.each;
-    for (const auto* rival : rivals) {
-        if (rival->spec.jobClass == job.spec.jobClass || rival->priority > job.priority ||
-            rival->spec.each.fits(job.spec.each) || !rival->spec.each.fits(free) ||
-            !typeAllowed(rival->spec, type, zone, spot))
-            continue;
-        const auto count =
-            fitsIn(*rival, free, rival->spec.tasks) - fitsIn(*rival, after, rival->spec.tasks);
+    for (const auto& rival : rivals) {
+        const auto count = placesClosed(rival, type, zone, spot, free, job);
         closed.all += count;
-        if (rival->spec.team != job.spec.team && rival->priority < job.priority)
+        const auto& spec = rival.job->spec;
+        if (count > rival.spare && spec.team != job.spec.team && rival.job->priority < job.priority)
             closed.ofHosts += count;
     }
     return closed;
@@ -168,11 +203,12 @@
            (team == nullptr || (team->cpus <= 0 && team->gpus <= 0));
 }
 
-bool Placement::isStarving(const Job& job, std::uint32_t part) const {
-    if (context_.timers.wallNow() - job.readySince < guestPatience) return false;
-    return std::none_of(job.slices.begin(), job.slices.end(), [part](const Slice& slice) {
-        return slice.part == part && !slice.claims.empty();
-    });
+std::uint32_t Placement::guestAllowance(const Job& job, std::uint32_t part) const {
+    if (context_.timers.wallNow() - job.readySince < guestPatience) return 0;
+    std::size_t claimed = 0;
+    for (const auto& slice : job.slices)
+        if (slice.part == part) claimed += slice.claims.size();
+    return static_cast<std::uint32_t>(guestTasks - std::min(guestTasks, claimed));
 }
 
 Placement::Opening* Placement::choose(Ledger& ledger, Openings& openings, const Job& job,
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -15,7 +15,6 @@
 constexpr double unlimited = 1e12;
 constexpr double shareSlack = 1e-6;
 constexpr std::uint32_t placementsPerRun = 64;
-constexpr std::uint32_t starvingTasks = 8;    // of a guest, at a time on a part
 constexpr std::uint32_t unprovenTasks = 256;  // at a time, of a job that has shown no task to run
 // What has no aim (left) is served as if it had to start this long after its submission.
 constexpr Seconds patience{600};
@@ -285,15 +284,22 @@
            (job.anyClaim() || waited < fetch * fetchesPassedOver);
 }
 
+void Placement::useSpare(Rivals& rivals, const Opening& opening, const Job& job) const {
+    const Machine& machine = *opening.machine;
+    const auto* type = context_.type(machine.type);
+    for (auto& rival : rivals)
+        rival.spare -= std::min(
+            rival.spare, placesClosed(rival, *type, machine.zone, machine.spot, opening.free, job));
+}
+
 Placement::Placed Placement::placeArray(Ledger& ledger, std::uint32_t part, Job& job,
-                                        Openings& openings, const Rivals& rivals, Resources& left,
+                                        Openings& openings, Rivals& rivals, Resources& left,
                                         bool& overShare, bool cachedOnly, std::uint32_t most) {
     auto zoneUse = zoneUseOf(ledger, job);
-    // The hosts' places stay open for what comes next. What finds none otherwise takes a few of
+    // The hosts' places stay open for what comes next. What finds no other place takes a few of
     // them, so that a guest never waits for good.
     const bool guest = isGuest(job);
-    const bool yields = guest && !isStarving(job, part);
-    if (guest && !yields) most = std::min(most, starvingTasks);
+    auto allowance = guest ? guestAllowance(job, part) : 0;
     Placed placed;
     std::optional<std::uint32_t> mayWait;  // worked out when the first would have to fetch
     for (auto& slice : job.slices) {
@@ -306,7 +312,11 @@
                 overShare = true;
                 return placed;
             }
-            Opening* opening = choose(ledger, openings, job, rivals, zoneUse, yields);
+            Opening* opening = choose(ledger, openings, job, rivals, zoneUse, guest);
+            if (opening == nullptr && allowance > 0) {
+                --allowance;
+                opening = choose(ledger, openings, job, rivals, zoneUse, false);
+            }
             if (opening == nullptr) return placed;
             const Machine* machine = opening->machine;
             if (!hasImage(ledger, *machine, job)) {
@@ -329,6 +339,7 @@
                           job.spec.id, task, machine->id, machine->type, job.spec.jobClass,
                           Seconds(context_.timers.wallNow() - job.submitted).count());
             ledger.addClaim(job, slice, std::move(claim));
+            if (guest) useSpare(rivals, *opening, job);
             take(*opening, job.spec.each);
             ++placed.tasks;
         }
@@ -400,7 +411,7 @@
     std::set<std::string> blockedZones;
     dropReservations(*ledger, part);
     auto openings = openingsOf(*ledger, part);
-    const auto rivals = largestOfClasses(*ledger);
+    auto rivals = largestOfClasses(*ledger);
     auto queue = readyJobs(*ledger, part);
     const auto leftFor = [&](const Job& job) -> Resources& {
         const auto [entry, fresh] = left.try_emplace(job.spec.team);
@@ -408,10 +419,14 @@
         return entry->second;
     };
     std::vector<Ready> toFetch;
+    bool spareCounted = false;
     for (auto& ready : queue) {
         Job& job = *ready.job;
         bool overShare = false;
         if (job.spec.kind != JobKind::gang) {
+            // Guests come last, so that what the hosts have just taken counts.
+            if (isGuest(job) && !std::exchange(spareCounted, true))
+                countSpare(rivals, openings, *ledger, part);
             const bool cachedOnly = !ready.probe && letsCachedGoFirst(job);
             const auto placed = placeArray(*ledger, part, job, openings, rivals, leftFor(job),
                                            overShare, cachedOnly, mostToPlace(ready));
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -95,7 +95,11 @@
     };
     using Openings = std::vector<OpenKind>;
     // One job for each class, with the largest tasks.
-    using Rivals = std::vector<const Job*>;
+    struct Rival {
+        const Job* job = nullptr;
+        std::uint32_t spare = 0;  // places for it beyond what waits and what may come next
+    };
+    using Rivals = std::vector<Rival>;
     using ZoneUse = std::map<std::string, std::uint32_t>;
 
     [[nodiscard]] Openings openingsOf(const Ledger& ledger, std::uint32_t part) const;
@@ -119,7 +123,7 @@
         std::uint32_t waiting = 0;  // for a machine with the image, rather than elsewhere
     };
     Placed placeArray(Ledger& ledger, std::uint32_t part, Job& job, Openings& openings,
-                      const Rivals& rivals, Resources& left, bool& overShare, bool cachedOnly,
+                      Rivals& rivals, Resources& left, bool& overShare, bool cachedOnly,
                       std::uint32_t most);
     // Whether others that need no fetch may go first where this job would have to fetch.
     [[nodiscard]] bool letsCachedGoFirst(const Job& job) const;
@@ -155,10 +159,18 @@
     [[nodiscard]] static ClosedPlaces placesClosed(const Rivals& rivals, const MachineType& type,
                                                    const std::string& zone, bool spot,
                                                    const Resources& free, const Job& job);
+    [[nodiscard]] static std::uint32_t placesClosed(const Rival& rival, const MachineType& type,
+                                                    const std::string& zone, bool spot,
+                                                    const Resources& free, const Job& job);
+    // Whether the job's tasks are smaller ones that go after the rival's.
+    [[nodiscard]] static bool mayLosePlaces(const Rival& rival, const Job& job);
+    void countSpare(Rivals& rivals, const Openings& openings, const Ledger& ledger,
+                    std::uint32_t part) const;
+    void useSpare(Rivals& rivals, const Opening& opening, const Job& job) const;
     // An array of the lowest priority, of a team without a guarantee: it uses what is left over.
     [[nodiscard]] bool isGuest(const Job& job) const;
-    // It has waited for long, and no task of it has a place on the part.
-    [[nodiscard]] bool isStarving(const Job& job, std::uint32_t part) const;
+    // How many more tasks of a guest that has waited for long may close places of hosts.
+    [[nodiscard]] std::uint32_t guestAllowance(const Job& job, std::uint32_t part) const;
     // What a claim takes of an opening, and gives back.
     static void take(Opening& opening, const Resources& each);
     static void giveBack(Opening& opening, const Resources& each);
--- a/src/transport/socket.cpp
+++ b/src/transport/socket.cpp
@@ -17,7 +17,8 @@
 
 namespace {
 
-constexpr int backlog = 512;
+constexpr int backlog =
+    4096;  // a whole fleet may come to one node at once; the kernel has its own bound
 
 std::optional<sockaddr_in> parse(const std::string& address) {
     const auto colon = address.rfind(':');
