--- a/tests/sim/scenario_main.cpp
+++ b/tests/sim/scenario_main.cpp
@@ -101,6 +101,9 @@
         return 1000;
     }
 
+    // Of the last run.
+    [[nodiscard]] const sim::Costs& costs() const { return costs_; }
+
     // The failures; none: passed.
     std::vector<std::string> run(std::uint64_t seed) {
         sim::WorldSpec spec;
@@ -119,6 +122,7 @@
                 world.at(Time(line.numberAt(1)), [&world, line] { act(world, line); });
         }
         world.run(end);
+        costs_ = world.costs();
         auto failures = world.checker().breaches();
         for (const auto& line : lines_)
             if (line.words.front() == "expect") expect(world, line, failures);
@@ -306,13 +310,26 @@
     }
 
     std::vector<Line> lines_;
+    sim::Costs costs_;
 };
 
+void print(std::uint64_t seed, const sim::Costs& costs) {
+    const auto micros = [](sim::Cost::Time time) {
+        return std::chrono::duration<double, std::micro>(time).count();
+    };
+    const auto& [reports, steps] = costs;
+    std::cout << fmt::format(
+        "seed {}: {} reports of {:.1f} us; {} steps, {:.0f} ms in all, the longest {:.1f} ms\n",
+        seed, reports.count, micros(reports.total) / std::max<double>(1, reports.count),
+        steps.count, micros(steps.total) / 1000, micros(steps.longest) / 1000);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
     if (argc < 2) return 2;
-    spdlog::set_level(argc > 3 ? spdlog::level::debug : spdlog::level::off);
+    const bool costs = argc > 3 && std::string(argv[3]) == "costs";
+    spdlog::set_level(argc > 3 && !costs ? spdlog::level::debug : spdlog::level::off);
     spdlog::set_pattern("%L %v");
     try {
         Scenario scenario(argv[1]);
@@ -324,7 +341,9 @@
                                   : std::min(std::stoull(range), scenario.mostSeeds());
         bool passed = true;
         for (std::uint64_t seed = first; seed <= seeds; ++seed) {
-            for (const auto& failure : scenario.run(seed)) {
+            const auto failures = scenario.run(seed);
+            if (costs) print(seed, scenario.costs());
+            for (const auto& failure : failures) {
                 std::cout << "seed " << seed << ": " << failure << '\n';
                 passed = false;
             }
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -186,8 +186,11 @@
     if (host == "cloud") return serveCloud(request, reply);
     for (const auto& node : nodes_) {
         if (node->name != host) continue;
-        if (node->controller) node->controller->onRequest(request, std::move(reply));
-        return;
+        if (!node->controller) return;
+        if (request.path != wire::pathReport)
+            return node->controller->onRequest(request, std::move(reply));
+        return costs_.reports.measure(
+            [&] { node->controller->onRequest(request, std::move(reply)); });
     }
     Worker* target = worker(host);
     if (target == nullptr || !target->up || target->gone) return;
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -25,6 +25,31 @@
     std::size_t changes = 12;
 };
 
+// Processor time that the controllers have used, of all nodes together.
+struct Cost {
+    using Time = std::chrono::steady_clock::duration;
+
+    // Adds what the action takes.
+    template <typename Action>
+    void measure(Action&& action) {
+        const auto began = std::chrono::steady_clock::now();
+        action();
+        const auto took = std::chrono::steady_clock::now() - began;
+        total += took;
+        longest = std::max(longest, took);
+        ++count;
+    }
+
+    std::uint64_t count = 0;
+    Time total{};
+    Time longest{};
+};
+
+struct Costs {
+    Cost reports;  // from workers
+    Cost steps;    // timers: rounds of placement, takeovers, housekeeping
+};
+
 struct WorldSpec {
     std::uint64_t seed = 1;
     int nodes = 3;
@@ -139,6 +164,7 @@
     // When the job's user was first told that it is in this state.
     [[nodiscard]] std::optional<Time> firstTold(const std::string& job,
                                                 const std::string& state) const;
+    [[nodiscard]] const Costs& costs() const { return costs_; }
     [[nodiscard]] std::size_t machinesUp() const;
     [[nodiscard]] Time now() const { return now_; }
     [[nodiscard]] int nodeCount() const { return spec_.nodes; }
@@ -235,6 +261,7 @@
     WorldSpec spec_;
     std::mt19937_64 rng_;
     Checker checker_;
+    Costs costs_;
     Time now_{};
     std::multimap<Time, std::function<void()>> queue_;
     std::vector<std::unique_ptr<Node>> nodes_;
--- a/tests/sim/world_parts.h
+++ b/tests/sim/world_parts.h
@@ -57,7 +57,7 @@
                   [this, id, pending, alive = alive_, action = std::move(action)] {
                       if (!*alive || !*pending) return;
                       pending_.erase(id);
-                      action();
+                      world_.costs_.steps.measure(action);
                   });
         return id;
     }
