--- a/src/bookkeeping/ledger.h
+++ b/src/bookkeeping/ledger.h
@@ -70,6 +70,7 @@
     std::uint32_t reservedTasks = 0;
     Resources reservedRoom;
     SteadyTime reservedUntil{};
+    std::size_t exited = 0;            // tasks in its last report that have ended
     std::set<std::string> failedJobs;  // whose tasks have failed here since one was done
     std::deque<CachedImage> images;    // most recently used first
     std::vector<TaskRef> claims;
--- a/src/bookkeeping/records.cpp
+++ b/src/bookkeeping/records.cpp
@@ -28,6 +28,8 @@
 constexpr std::uint32_t smallSlice = 4;
 constexpr std::uint32_t handySlice = 40;  // small enough to be rewritten often
 constexpr std::uint32_t slicesWanted = 16;
+constexpr double writesPerSlice = 2;     // its claims and its ends, at the least
+constexpr double recordingSeconds = 10;  // for all slices of a job, at the full write rate
 
 std::optional<std::string> after(const std::string& key, const char* prefix) {
     if (!key.starts_with(prefix)) return std::nullopt;
@@ -304,14 +306,20 @@
     return state;
 }
 
-std::uint32_t sliceSizeFor(const JobSpec& spec, double valueKb, bool divisible) {
-    const auto most = static_cast<std::uint32_t>(std::max(1.0, valueKb * 1024 / bytesPerTask));
+std::uint32_t sliceSizeFor(const JobSpec& spec, const RecordBounds& bounds, bool divisible) {
+    const auto most =
+        static_cast<std::uint32_t>(std::max(1.0, bounds.valueKb * 1024 / bytesPerTask));
     Job probe;
     probe.spec = spec;
     if (probe.undivided()) return std::min(most, spec.tasks);
     // With many small slices a job's tasks that change together took many writes, and the writes
-    // that the state service allows held up the starts.
-    if (divisible) return std::min({most, spec.tasks, handySlice});
+    // that the state service allows held up the starts. An array that is so large that even its
+    // claims and ends take longer than this gets larger slices.
+    if (divisible) {
+        const auto quick = static_cast<std::uint32_t>(
+            spec.tasks * writesPerSlice / std::max(1.0, bounds.writesPerSecond * recordingSeconds));
+        return std::min({most, spec.tasks, std::max(handySlice, quick)});
+    }
     const auto even = (spec.tasks + slicesWanted - 1) / slicesWanted;
     return std::clamp(even, std::min(smallSlice, most), most);
 }
--- a/src/bookkeeping/records.h
+++ b/src/bookkeeping/records.h
@@ -40,10 +40,16 @@
 Json finalValue(const FinalState& state);
 FinalState readFinal(const Json& value);
 
+// What the state service allows.
+struct RecordBounds {
+    double valueKb = 4;
+    double writesPerSecond = 20;  // of all nodes
+};
+
 // How many tasks a slice may have so that its record, all tasks claimed, stays within a value.
 // Slices that can be divided later are as large as is handy; others are small enough to be pushed
 // whole.
-std::uint32_t sliceSizeFor(const JobSpec& spec, double valueKb, bool divisible);
+std::uint32_t sliceSizeFor(const JobSpec& spec, const RecordBounds& bounds, bool divisible);
 
 // Applies a record as read or followed, unless the ledger has it at least as new. An event without
 // value is a deletion.
--- a/src/coordination/admission.cpp
+++ b/src/coordination/admission.cpp
@@ -77,8 +77,9 @@
     Job job;
     job.spec = spec;
     job.submitted = context_.timers.wallNow();
-    job.sliceSize = bookkeeping::sliceSizeFor(spec, context_.settings.valueKb,
-                                              context_.upgradeComplete(*context_.ledger.lock()));
+    job.sliceSize =
+        bookkeeping::sliceSizeFor(spec, {context_.settings.valueKb, context_.settings.stateWrites},
+                                  context_.upgradeComplete(*context_.ledger.lock()));
     return job;
 }
 
--- a/src/coordination/context.h
+++ b/src/coordination/context.h
@@ -61,6 +61,13 @@
             if (t.name == name) return &t;
         return nullptr;
     }
+    // An array of the lowest priority, of a team without a guarantee: it uses what is left over.
+    [[nodiscard]] bool isGuest(const Job& job) const {
+        const auto* owner = team(job.spec.team);
+        return job.priority == protocol::Priority::low &&
+               job.spec.kind == protocol::JobKind::array &&
+               (owner == nullptr || (owner->cpus <= 0 && owner->gpus <= 0));
+    }
     // Whether records and frames may have the formats that the first version doesn't know: no node
     // runs that version any more, nor ever will.
     [[nodiscard]] bool upgradeComplete(const Ledger& held) const {
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -357,20 +357,28 @@
             use.used.gpus, use.all.gpus);
 }
 
-bool Fleet::mostAreQuiet(const Ledger& ledger, std::uint32_t part) const {
-    // Many at once are behind a cut rather than dead. They are counted as soon as a report is
-    // overdue: counted only when it was time to give them up, each in turn was the only silent one,
-    // and a part gave back all its machines with all that ran there (incident inc-59fe).
-    const auto now = context_.now();
+std::set<std::string> Fleet::quietZones(const Ledger& ledger, std::uint32_t part) const {
+    // Many at once are behind a cut rather than dead, and cuts go by zones: a part with machines in
+    // two zones once gave back all of one. They are counted as soon as a report is overdue: counted
+    // only when it was time to give them up, each in turn was the only silent one, and a part gave
+    // back all its machines with all that ran there (incident inc-59fe).
+    struct Count {
+        std::size_t live = 0;
+        std::size_t quiet = 0;
+    };
+    std::map<std::string, Count> zones;
     const auto overdue = ticks(context_.settings.report * quietReports);
-    std::size_t live = 0;
-    std::size_t quiet = 0;
     for (const auto* machine : ledger.machinesOf(part)) {
         if (!machine->lastReport) continue;
-        ++live;
-        if (now - *machine->lastReport > overdue) ++quiet;
+        auto& count = zones[machine->zone];
+        ++count.live;
+        if (context_.now() - *machine->lastReport > overdue) ++count.quiet;
     }
-    return membership_.workersLost() || (quiet > 1 && quiet * 2 > live);
+    std::set<std::string> quiet;
+    for (const auto& [zone, count] : zones)
+        if (membership_.workersLost() || (count.quiet > 1 && count.quiet * 2 > count.live))
+            quiet.insert(zone);
+    return quiet;
 }
 
 void Fleet::review(std::uint32_t part) {
@@ -384,7 +392,7 @@
     noteClasses(*ledger);
     const auto silentLimit =
         std::max<Duration>(silentRelease, ticks(context_.settings.report * silentReports));
-    const bool behindCut = mostAreQuiet(*ledger, part);
+    const auto behindCut = quietZones(*ledger, part);
     for (auto* entry : ledger->machinesOf(part)) {
         Machine& machine = *entry;
         const auto* type = context_.type(machine.type);
@@ -400,7 +408,7 @@
         } else if (machine.notBefore - now > 1min) {
             retire(machine, "faulty");
         } else if (now - *machine.lastReport > silentLimit) {
-            if (!behindCut) retire(machine, "silent");
+            if (!behindCut.contains(machine.zone)) retire(machine, "silent");
         } else if (!machine.acknowledged() && machine.claims.empty() &&
                    now - machine.doubtedSince > silentLimit + ticks(context_.settings.lease)) {
             retire(machine, "does not hear");
--- a/src/coordination/fleet.h
+++ b/src/coordination/fleet.h
@@ -83,8 +83,8 @@
     [[nodiscard]] bool asking(const Kind& kind) const;
     void retire(Machine& machine, const char* why);
     void release();
-    // Whether most of the part's machines miss their reports at the same time.
-    [[nodiscard]] bool mostAreQuiet(const Ledger& ledger, std::uint32_t part) const;
+    // Where most of the part's machines miss their reports at the same time.
+    [[nodiscard]] std::set<std::string> quietZones(const Ledger& ledger, std::uint32_t part) const;
     void logUse(const Ledger& ledger, std::uint32_t part);
     void noteGuaranteed(const Ledger& ledger);
     [[nodiscard]] bool withinGuarantee(const Machine& machine) const;
--- a/src/coordination/openings.cpp
+++ b/src/coordination/openings.cpp
@@ -14,7 +14,10 @@
 constexpr double sharedFetch = 0.4;        // of a fetch that another task has begun
 constexpr double idleGpuSeconds = 25;      // what using up a GPU machine's CPUs counts as
 constexpr double closedPlaceSeconds = 30;  // what closing a place for larger tasks counts as
-constexpr std::size_t guestTasks = 32;     // of a job on a part that may close places of hosts
+// What a machine reports has to fit into 64 KiB, with those that have ended and are not recorded
+// yet.
+constexpr std::size_t mostTasks = 448;
+constexpr std::size_t guestTasks = 32;  // of a job on a part that may close places of hosts
 constexpr auto guestPatience = std::chrono::seconds(60);  // until places of others may be closed
 constexpr double emptyMachineSeconds = 4;  // what breaking into an empty machine counts as
 
@@ -24,7 +27,8 @@
     Openings openings;
     const auto now = context_.now();
     for (auto* machine : ledger.machinesOf(part)) {
-        if (!takesWork(*machine, now)) continue;
+        if (!takesWork(*machine, now) || machine->claims.size() + machine->exited >= mostTasks)
+            continue;
         auto kind = std::find_if(openings.begin(), openings.end(), [&](const OpenKind& k) {
             return k.type->name == machine->type && k.zone == machine->zone &&
                    k.spot == machine->spot;
@@ -197,12 +201,6 @@
     return closed;
 }
 
-bool Placement::isGuest(const Job& job) const {
-    const auto* team = context_.team(job.spec.team);
-    return job.priority == protocol::Priority::low && job.spec.kind == JobKind::array &&
-           (team == nullptr || (team->cpus <= 0 && team->gpus <= 0));
-}
-
 std::uint32_t Placement::guestAllowance(const Job& job, std::uint32_t part) const {
     if (context_.timers.wallNow() - job.readySince < guestPatience) return 0;
     std::size_t claimed = 0;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -15,6 +15,7 @@
 constexpr double unlimited = 1e12;
 constexpr double shareSlack = 1e-6;
 constexpr std::uint32_t placementsPerRun = 64;
+constexpr std::chrono::seconds longestRecording{3};  // of claims, for more of guests to be made
 constexpr std::uint32_t unprovenTasks = 256;  // at a time, of a job that has shown no task to run
 // What has no aim (left) is served as if it had to start this long after its submission.
 constexpr Seconds patience{600};
@@ -229,6 +230,22 @@
     }
 }
 
+bool Placement::claimsWait(const Ledger& ledger, std::uint32_t part) const {
+    // Beyond what the state service writes, the claims of a guest's thousands of short tasks once
+    // waited for 150 s for their records and held their machines, and those of the hosts behind
+    // them (day fresh-5728 of vatback).
+    const auto oldest = context_.now() - longestRecording;
+    return std::any_of(ledger.jobs.begin(), ledger.jobs.end(), [&](const auto& entry) {
+        const auto& slices = entry.second.slices;
+        return std::any_of(slices.begin(), slices.end(), [&](const Slice& slice) {
+            return slice.part == part && slice.dirty &&
+                   std::any_of(slice.claims.begin(), slice.claims.end(), [&](const Claim& claim) {
+                       return !claim.durable && claim.made < oldest;
+                   });
+        });
+    });
+}
+
 std::vector<std::uint32_t> Placement::queueLengths() {
     std::vector<std::uint32_t> lengths(context_.partCount(), 0);
     const auto now = context_.now();
@@ -298,7 +315,7 @@
     auto zoneUse = zoneUseOf(ledger, job);
     // The hosts' places stay open for what comes next. What finds no other place takes a few of
     // them, so that a guest never waits for good.
-    const bool guest = isGuest(job);
+    const bool guest = context_.isGuest(job);
     auto allowance = guest ? guestAllowance(job, part) : 0;
     Placed placed;
     std::optional<std::uint32_t> mayWait;  // worked out when the first would have to fetch
@@ -420,12 +437,15 @@
     };
     std::vector<Ready> toFetch;
     bool spareCounted = false;
+    const bool recordsLag = claimsWait(*ledger, part);
     for (auto& ready : queue) {
         Job& job = *ready.job;
         bool overShare = false;
         if (job.spec.kind != JobKind::gang) {
+            const bool guest = context_.isGuest(job);
+            if (guest && recordsLag) continue;
             // Guests come last, so that what the hosts have just taken counts.
-            if (isGuest(job) && !std::exchange(spareCounted, true))
+            if (guest && !std::exchange(spareCounted, true))
                 countSpare(rivals, openings, *ledger, part);
             const bool cachedOnly = !ready.probe && letsCachedGoFirst(job);
             const auto placed = placeArray(*ledger, part, job, openings, rivals, leftFor(job),
@@ -474,7 +494,7 @@
     std::uint32_t room = 0;
     // Of a peer's machines only the records are known, not whether they report.
     const bool own = membership_.active(part);
-    const auto rivals = isGuest(job) ? largestOfClasses(*ledger) : Rivals();
+    const auto rivals = context_.isGuest(job) ? largestOfClasses(*ledger) : Rivals();
     for (const auto* machine : ledger->machinesOf(part)) {
         if (machine->retired || (own && !takesWork(*machine)) || !mayUseLoan(job, *machine))
             continue;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -112,6 +112,8 @@
     // Of the gangs of its class seen so far.
     [[nodiscard]] bool isLargest(const Job& job) const;
     std::vector<Ready> readyJobs(Ledger& ledger, std::uint32_t part);
+    // Whether claims wait for their records already: more of them would only hold machines.
+    [[nodiscard]] bool claimsWait(const Ledger& ledger, std::uint32_t part) const;
     // Whether a failing job may be tried once more, by this part.
     [[nodiscard]] static bool mayProbe(const Job& job, std::uint32_t part);
     // How many tasks of an array may get places in one run.
@@ -167,8 +169,6 @@
     void countSpare(Rivals& rivals, const Openings& openings, const Ledger& ledger,
                     std::uint32_t part) const;
     void useSpare(Rivals& rivals, const Opening& opening, const Job& job) const;
-    // An array of the lowest priority, of a team without a guarantee: it uses what is left over.
-    [[nodiscard]] bool isGuest(const Job& job) const;
     // How many more tasks of a guest that has waited for long may close places of hosts.
     [[nodiscard]] std::uint32_t guestAllowance(const Job& job, std::uint32_t part) const;
     // What a claim takes of an opening, and gives back.
--- a/src/coordination/recorder.cpp
+++ b/src/coordination/recorder.cpp
@@ -18,6 +18,7 @@
 constexpr std::size_t bytesPerJob = 700;
 constexpr std::size_t leastChanges = 2;  // the end of a job drops one record and writes another
 constexpr std::size_t leastValueBytes = 512;
+constexpr std::size_t hostsPerGuest = 3;  // slices in one transaction
 constexpr auto pauseAfterRejection = 500ms;
 // Under the write limit; the more ends one record then tells of, the fewer are written.
 constexpr auto endsPatience = 10s;
@@ -204,40 +205,61 @@
     }
 }
 
-void Recorder::addFinals(Batch& batch, Ledger& ledger, std::uint32_t part) {
+void Recorder::addFinals(Batch& batch, Ledger& ledger, std::uint32_t part, bool guests,
+                         std::size_t mostChanges) {
     for (auto& [id, job] : ledger.jobs) {
-        if (full(batch)) return;
-        if (job.part == part && !job.finishing && !batch.jobs.contains(id) && over(ledger, job))
+        if (full(batch) || batch.transaction.changes.size() >= mostChanges) return;
+        if (job.part == part && !job.finishing && context_.isGuest(job) == guests &&
+            !batch.jobs.contains(id) && over(ledger, job))
             addFinal(batch, ledger, job);
     }
 }
 
-void Recorder::addSlices(Batch& batch, Ledger& ledger, std::uint32_t part) {
-    struct Dirty {
-        SteadyTime due{};
-        Job* job = nullptr;
-        const Slice* slice = nullptr;
-    };
+std::vector<Recorder::Dirty> Recorder::dirtySlices(Ledger& ledger, std::uint32_t part,
+                                                   const Batch& batch) const {
     const auto now = context_.now();
-    std::vector<Dirty> all;
+    std::vector<Dirty> hosts;
+    std::vector<Dirty> guests;
     for (auto& [id, job] : ledger.jobs) {
-        if (job.finishing || batch.jobs.contains(id)) continue;
+        // What a job's end will say needs no record of its own.
+        if (job.finishing || batch.jobs.contains(id) || (job.part == part && over(ledger, job)))
+            continue;
+        auto& same = context_.isGuest(job) ? guests : hosts;
         for (auto& slice : job.slices) {
             if (!slice.dirty || slice.part != part) continue;
             if (!slice.dirtySince) slice.dirtySince = now;
             const Duration patience = patiencePerRank * static_cast<int>(job.priority) +
                                       (somebodyWaitsFor(slice) ? Duration::zero() : endsPatience);
-            all.push_back({*slice.dirtySince + patience, &job, &slice});
+            same.push_back({*slice.dirtySince + patience, &job, &slice});
         }
     }
     // What has waited longest, urgent jobs before others. In the order of their names some slices
     // waited for a minute and more while those of earlier names were written again and again.
-    std::sort(all.begin(), all.end(), [](const Dirty& one, const Dirty& other) {
+    const auto earlier = [](const Dirty& one, const Dirty& other) {
         return std::tie(one.due, one.job->spec.id, one.slice->index) <
                std::tie(other.due, other.job->spec.id, other.slice->index);
-    });
+    };
+    std::sort(hosts.begin(), hosts.end(), earlier);
+    std::sort(guests.begin(), guests.end(), earlier);
+    return interleaved(hosts, guests);
+}
+
+std::vector<Recorder::Dirty> Recorder::interleaved(const std::vector<Dirty>& hosts,
+                                                   const std::vector<Dirty>& guests) {
+    // A guest's thousands of slices, each older than a host's latest, would keep that waiting.
+    std::vector<Dirty> all;
+    auto guest = guests.begin();
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        all.push_back(hosts[i]);
+        if ((i + 1) % hostsPerGuest == 0 && guest != guests.end()) all.push_back(*guest++);
+    }
+    all.insert(all.end(), guest, guests.end());
+    return all;
+}
+
+void Recorder::addSlices(Batch& batch, Ledger& ledger, std::uint32_t part) {
     std::set<const Job*> divided;
-    for (const auto& [due, job, slice] : all) {
+    for (const auto& [due, job, slice] : dirtySlices(ledger, part, batch)) {
         if (full(batch)) return;
         // What a division adds has to be known before another slice of the job is divided.
         if (divided.contains(job)) continue;
@@ -253,9 +275,11 @@
         auto ledger = context_.ledger.lock();
         batch.generation = ledger->generation;
         addCancellations(batch, *ledger, part);
-        addFinals(batch, *ledger, part);
+        addFinals(batch, *ledger, part, false, mostChanges_);
+        addFinals(batch, *ledger, part, true, mostChanges_ / 2);
         addPushes(batch, *ledger, part);
         addSlices(batch, *ledger, part);
+        addFinals(batch, *ledger, part, true, mostChanges_);
     }
     if (batch.transaction.changes.empty()) return deleteStrays(part);
     auto transaction = batch.transaction;
--- a/src/coordination/recorder.h
+++ b/src/coordination/recorder.h
@@ -66,7 +66,20 @@
 
     void addCancellations(Batch& batch, Ledger& ledger, std::uint32_t part);
     void addPushes(Batch& batch, Ledger& ledger, std::uint32_t part);
-    void addFinals(Batch& batch, Ledger& ledger, std::uint32_t part);
+    // A slice that has changed since its record.
+    struct Dirty {
+        SteadyTime due{};
+        Job* job = nullptr;
+        const Slice* slice = nullptr;
+    };
+    // Those of guests or of all others, while the batch has fewer changes than this.
+    void addFinals(Batch& batch, Ledger& ledger, std::uint32_t part, bool guests,
+                   std::size_t mostChanges);
+    // In the order in which they are to be written.
+    [[nodiscard]] std::vector<Dirty> dirtySlices(Ledger& ledger, std::uint32_t part,
+                                                 const Batch& batch) const;
+    [[nodiscard]] static std::vector<Dirty> interleaved(const std::vector<Dirty>& hosts,
+                                                        const std::vector<Dirty>& guests);
     void addSlices(Batch& batch, Ledger& ledger, std::uint32_t part);
     void addFinal(Batch& batch, const Ledger& ledger, Job& job);
     // Whether the job has ended and its live record may go.
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -102,6 +102,9 @@
     machine.session = report.session;
     machine.sequence = report.sequence;
     machine.lastReport = now;
+    machine.exited = static_cast<std::size_t>(
+        std::count_if(report.tasks.begin(), report.tasks.end(),
+                      [](const auto& task) { return task.state == TaskState::exited; }));
     if (report.notice && !machine.noticeEnds) {
         spdlog::info("machine {}: notice, {:.1f} s", machine.id, report.notice->count());
         machine.noticeEnds = now + ticks(*report.notice);
--- a/tests/unit/records_test.cpp
+++ b/tests/unit/records_test.cpp
@@ -99,7 +99,7 @@
         for (const auto kind : {protocol::JobKind::array, protocol::JobKind::gang}) {
             for (const bool divisible : {false, true}) {
                 job.spec.kind = kind;
-                const auto size = sliceSizeFor(job.spec, kb, divisible);
+                const auto size = sliceSizeFor(job.spec, {kb, 20}, divisible);
                 auto slices = makeSlices(job.spec, size, 2);
                 Slice& slice = slices.front();
                 for (std::uint32_t i = 0; i < slice.done.size(); ++i) {
@@ -115,6 +115,15 @@
     }
 }
 
+TEST_F(Records, SlicesOfAHugeArrayFollowTheWriteRate) {
+    Job job = makeJob(20'000);
+    EXPECT_EQ(sliceSizeFor(job.spec, {16, 80}, true), 50U);
+    EXPECT_EQ(sliceSizeFor(job.spec, {16, 20}, true), 200U);
+    EXPECT_EQ(sliceSizeFor(job.spec, {4, 20}, true), 78U);  // as many as a value holds
+    job.spec.tasks = 100;
+    EXPECT_EQ(sliceSizeFor(job.spec, {16, 20}, true), 40U);
+}
+
 TEST_F(Records, ADividedSliceIsOneSliceLessAndOneMore) {
     const Job job = makeJob(10);
     put(keys::job("run-1"), jobValue(job), 5);
