--- a/src/coordination/context.h
+++ b/src/coordination/context.h
@@ -31,6 +31,10 @@
     return std::chrono::duration_cast<Duration>(s);
 }
 
+inline transport::WallTime plus(transport::WallTime at, Seconds by) {
+    return at + std::chrono::duration_cast<transport::WallTime::duration>(by);
+}
+
 struct Context {
     Context(const app::Settings& platform, const app::OperatorSettings& operators,
             transport::Timers& clock, transport::Network& net, std::uint64_t seed)
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -14,22 +14,9 @@
 constexpr double silentReports = 2.5;  // no new work after so many missed reports
 constexpr double unlimited = 1e12;
 constexpr double shareSlack = 1e-6;
-constexpr std::uint32_t placementsPerRun = 64;
-constexpr std::chrono::seconds longestRecording{3};  // of claims, for more of guests to be made
-constexpr std::uint32_t unprovenTasks = 256;  // at a time, of a job that has shown no task to run
-// What has no aim (left) is served as if it had to start this long after its submission.
-constexpr Seconds patience{600};
-constexpr Seconds largestBegin{240};  // what the operators ask of a class's largest jobs
-constexpr Seconds largestLead{120};   // to gather for them
-constexpr Seconds riskMargin{10};
-constexpr Seconds loanClosedToOthers{45};  // to work that has waited for less
-constexpr double fetchThatCounts = 0.25;   // of the time that a task runs
+constexpr double fetchThatCounts = 0.25;  // of the time that a task runs
 constexpr double fetchesPassedOver = 3;
 
-transport::WallTime plus(transport::WallTime at, Seconds by) {
-    return at + std::chrono::duration_cast<transport::WallTime::duration>(by);
-}
-
 }  // namespace
 
 std::map<std::string, std::uint32_t> zoneUseOf(const Ledger& ledger, const Job& job) {
@@ -65,59 +52,6 @@
            now >= machine.notBefore;
 }
 
-transport::WallTime Placement::latestStart(const Job& job) const {
-    // The next of the job's aims that can still be met. What has missed all of them goes behind,
-    // since hurrying it helps nobody, but it grows old and is not passed over for ever.
-    const auto now = context_.timers.wallNow();
-    std::optional<transport::WallTime> next;
-    const auto consider = [&](transport::WallTime latest) {
-        if (latest > now && (!next || latest < *next)) next = latest;
-    };
-    // A job that had to wait for others is late only from when it could have begun.
-    const auto sinceReady = [&job](Seconds time) { return plus(job.readySince, time); };
-    for (const auto& objective : context_.settings.objectives) {
-        if (objective.jobClass != job.spec.jobClass) continue;
-        if (objective.kind == app::ObjectiveKind::wait) consider(sinceReady(objective.within));
-        if (objective.kind == app::ObjectiveKind::finished)
-            consider(sinceReady(objective.within - job.spec.estimate));
-    }
-    if (job.spec.deadline) consider(plus(job.submitted, *job.spec.deadline - job.spec.estimate));
-    if (job.latestEnd) consider(plus(*job.latestEnd, -job.spec.estimate));
-    const auto latest = next ? *next : sinceReady(patience);
-    // A day on which a class's largest gangs don't begin in time is lost, and they need the most
-    // machines at once: behind what is easier to place, under half of them began.
-    if (isLargest(job) && now < sinceReady(largestBegin))
-        return std::min(latest, sinceReady(largestBegin - largestLead));
-    return latest;
-}
-
-bool Placement::isLargest(const Job& job) const {
-    const auto largest = largestGang_.find(job.spec.jobClass);
-    return job.spec.kind == JobKind::gang && job.spec.tasks > 1 && largest != largestGang_.end() &&
-           job.spec.tasks >= largest->second;
-}
-
-Seconds Placement::stepTime(const protocol::JobSpec& spec) const {
-    // A start waits for a worker's report, and so may an end that was reported while one was under
-    // way.
-    return spec.estimate + fetchTime(spec) + context_.settings.report;
-}
-
-Seconds Placement::fetchTime(const protocol::JobSpec& spec) const {
-    std::optional<double> fetch;
-    for (const auto& type : context_.catalog) {
-        if (!typeAllowed(spec, type, spec.zone.value_or(""), false)) continue;
-        const double here = spec.imageSize / type.fetchRate;
-        fetch = fetch ? std::min(*fetch, here) : here;
-    }
-    return Seconds(fetch.value_or(0));
-}
-
-bool Placement::atRisk(const Job& job) const {
-    const Seconds needed = fetchTime(job) + context_.settings.report * 2 + riskMargin;
-    return latestStart(job) < plus(context_.timers.wallNow(), needed);
-}
-
 std::uint64_t Placement::nextAttempt(std::uint32_t part) {
     // Terms grow over all owners, so attempts do too, without a record of their own.
     return (membership_.term(part) << taskBits) | (++sequence_ & ((1U << taskBits) - 1));
@@ -160,136 +94,6 @@
     return left;
 }
 
-bool Placement::before(const Job& one, const Job& other) const {
-    return std::tuple(one.priority, latestStart(one), one.spec.id) <
-           std::tuple(other.priority, latestStart(other), other.spec.id);
-}
-
-std::vector<Placement::Ready> Placement::readyJobs(Ledger& ledger, std::uint32_t part) {
-    std::vector<Ready> ready;
-    const auto now = context_.now();
-    for (const auto& [id, job] : ledger.jobs)
-        if (job.spec.kind == JobKind::gang && ledger.schedulable(job)) {
-            auto& largest = largestGang_[job.spec.jobClass];
-            largest = std::max(largest, job.spec.tasks);
-        }
-    for (auto& [id, job] : ledger.jobs) {
-        if (!ledger.startable(job) || now < job.notBefore) continue;
-        if (job.spec.kind == JobKind::gang && job.anyClaim()) {
-            if (job.part == part) stopBrokenGang(job);
-            continue;
-        }
-        if (job.failing()) {
-            if (mayProbe(job, part)) ready.push_back({&job, 1, latestStart(job), true});
-            continue;
-        }
-        std::uint32_t tasks = 0;
-        for (const auto& slice : job.slices)
-            if (slice.part == part) tasks += slice.waiting();
-        if (tasks > 0) ready.push_back({&job, tasks, latestStart(job)});
-    }
-    std::sort(ready.begin(), ready.end(), [](const Ready& a, const Ready& b) {
-        return std::tie(a.probe, a.job->priority, a.latest, a.job->spec.id) <
-               std::tie(b.probe, b.job->priority, b.latest, b.job->spec.id);
-    });
-    return ready;
-}
-
-bool Placement::mayProbe(const Job& job, std::uint32_t part) {
-    // One task at a time for the whole job, wherever its slices lie: by the first that waits.
-    if (job.anyClaim()) return false;
-    const auto first = std::find_if(job.slices.begin(), job.slices.end(),
-                                    [](const Slice& slice) { return slice.waiting() > 0; });
-    return first != job.slices.end() && first->part == part;
-}
-
-std::uint32_t Placement::mostToPlace(const Ready& ready) const {
-    if (ready.probe) return 1;
-    const Job& job = *ready.job;
-    if (job.spec.tasks <= unprovenTasks || job.doneTasks() > 0) return placementsPerRun;
-    // Of a large array with a mistake not all tasks have to fail to show it.
-    const auto now = context_.now();
-    std::uint32_t claimed = 0;
-    for (const auto& slice : job.slices)
-        for (const auto& claim : slice.claims) {
-            if (claim.ran && now - *claim.ran > ticks(context_.settings.report * 2))
-                return placementsPerRun;
-            ++claimed;
-        }
-    return std::min(placementsPerRun, unprovenTasks - std::min(unprovenTasks, claimed));
-}
-
-void Placement::stopBrokenGang(Job& job) {
-    if (job.complete() || job.claimedTasks() == job.spec.tasks) return;
-    // The rest would wait for a task that does not come back under this attempt.
-    for (auto& slice : job.slices) {
-        for (auto& claim : slice.claims) {
-            claim.giveUp = true;
-            claim.stopGrace = Seconds(0);
-        }
-    }
-}
-
-bool Placement::claimsWait(const Ledger& ledger, std::uint32_t part) const {
-    // Beyond what the state service writes, the claims of a guest's thousands of short tasks once
-    // waited for 150 s for their records and held their machines, and those of the hosts behind
-    // them (day fresh-5728 of vatback).
-    const auto oldest = context_.now() - longestRecording;
-    return std::any_of(ledger.jobs.begin(), ledger.jobs.end(), [&](const auto& entry) {
-        const auto& slices = entry.second.slices;
-        return std::any_of(slices.begin(), slices.end(), [&](const Slice& slice) {
-            return slice.part == part && slice.dirty &&
-                   std::any_of(slice.claims.begin(), slice.claims.end(), [&](const Claim& claim) {
-                       return !claim.durable && claim.made < oldest;
-                   });
-        });
-    });
-}
-
-std::vector<std::uint32_t> Placement::queueLengths() {
-    std::vector<std::uint32_t> lengths(context_.partCount(), 0);
-    const auto now = context_.now();
-    auto ledger = context_.ledger.lock();
-    for (const auto& [id, job] : ledger->jobs) {
-        if (!ledger->schedulable(job) || now < job.notBefore ||
-            (job.spec.kind == JobKind::gang && job.anyClaim()))
-            continue;
-        for (const auto& slice : job.slices)
-            if (slice.part < lengths.size()) lengths[slice.part] += slice.waiting();
-    }
-    return lengths;
-}
-
-std::uint32_t Placement::queueLength(std::uint32_t part) {
-    return queueLengths()[part];
-}
-
-bool Placement::mayUseLoan(const Job& job, const Machine& machine) const {
-    // A loan is for a gang's start only. But beside the gang's tasks there may be the only room
-    // that is left, and work that waits on and on beside it is not served (slice_left_behind).
-    if (!machine.lender || job.spec.kind == JobKind::gang) return true;
-    return !machine.claims.empty() &&
-           context_.timers.wallNow() > plus(job.readySince, loanClosedToOthers);
-}
-
-bool Placement::allowed(const Job& job, const Machine& machine) const {
-    const auto* type = context_.type(machine.type);
-    if (type == nullptr || !typeAllowed(job.spec, *type, machine.zone, machine.spot)) return false;
-    if (job.avoids(machine.id, context_.now())) return false;
-    if (!mayUseLoan(job, machine)) return false;
-    Resources room = type->capacity;
-    room -= machine.used;
-    if (context_.now() < machine.reservedUntil && machine.reservedFor != job.spec.id)
-        room -= machine.reservedRoom;
-    return job.spec.each.fits(room);
-}
-
-std::uint32_t Placement::fitsIn(const Job& job, Resources room, std::uint32_t most) {
-    std::uint32_t count = 0;
-    for (; count < most && job.spec.each.fits(room); ++count) room -= job.spec.each;
-    return count;
-}
-
 bool Placement::letsCachedGoFirst(const Job& job) const {
     // In a backlog every job has waited long. Each machine that came free then fetched the image of
     // the first in the queue, while later ones had theirs there: half of the GPUs' time went into
@@ -488,61 +292,4 @@
     return unplaced;
 }
 
-std::uint32_t Placement::roomFor(const Job& job, std::uint32_t part, std::uint32_t most) {
-    auto ledger = context_.ledger.lock();
-    if (job.spec.kind == JobKind::gang) return gangRoom(*ledger, part, job);
-    std::uint32_t room = 0;
-    // Of a peer's machines only the records are known, not whether they report.
-    const bool own = membership_.active(part);
-    const auto rivals = context_.isGuest(job) ? largestOfClasses(*ledger) : Rivals();
-    for (const auto* machine : ledger->machinesOf(part)) {
-        if (machine->retired || (own && !takesWork(*machine)) || !mayUseLoan(job, *machine))
-            continue;
-        const auto* type = context_.type(machine->type);
-        if (type == nullptr || !typeAllowed(job.spec, *type, machine->zone, machine->spot))
-            continue;
-        Resources free = type->capacity;
-        free -= machine->used;
-        const auto fits = fitsIn(job, free, most - room);
-        for (std::uint32_t i = 0; i < fits; ++i, free -= job.spec.each, ++room)
-            if (!rivals.empty() &&
-                placesClosed(rivals, *type, machine->zone, machine->spot, free, job).ofHosts > 0)
-                break;
-        if (room >= most) break;
-    }
-    return room;
-}
-
-std::uint32_t Placement::gangRoom(Ledger& ledger, std::uint32_t part, const Job& job) {
-    // All of it or nothing: a part with room for some of its tasks is of no use to it.
-    const bool own = membership_.active(part);
-    std::map<std::string, std::uint32_t> zones;
-    for (const auto* machine : ledger.machinesOf(part)) {
-        const auto* type = context_.type(machine->type);
-        if (machine->retired || (own && !takesWork(*machine)) || type == nullptr ||
-            !typeAllowed(job.spec, *type, machine->zone, machine->spot))
-            continue;
-        Resources free = type->capacity;
-        free -= machine->used;
-        if (context_.now() < machine->reservedUntil && machine->reservedFor != job.spec.id)
-            free -= machine->reservedRoom;
-        zones[job.spec.oneZone ? machine->zone : std::string()] +=
-            fitsIn(job, free, job.spec.tasks);
-    }
-    const bool fits = std::any_of(zones.begin(), zones.end(), [&](const auto& entry) {
-        return entry.second >= job.spec.tasks;
-    });
-    return fits ? job.spec.tasks : 0;
-}
-
-bool Placement::everFits(const Job& job, std::uint32_t part) {
-    auto ledger = context_.ledger.lock();
-    const auto& machines = ledger->machinesOf(part);
-    return std::any_of(machines.begin(), machines.end(), [&](const Machine* machine) {
-        const auto* type = context_.type(machine->type);
-        return !machine->retired && type != nullptr &&
-               typeAllowed(job.spec, *type, machine->zone, machine->spot);
-    });
-}
-
 }  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/queue_order.cpp
@@ -0,0 +1,180 @@
+// The ready queue of a part: which jobs wait, in what order, and how much of each may be placed.
+#include <algorithm>
+
+#include "coordination/placement.h"
+
+namespace fawnwheel::coordination {
+
+namespace {
+
+using protocol::JobKind;
+
+constexpr std::uint32_t placementsPerRun = 64;
+constexpr std::chrono::seconds longestRecording{10};  // of claims, for more of guests to be made
+constexpr std::uint32_t unprovenTasks = 256;  // at a time, of a job that has shown no task to run
+// What has no aim (left) is served as if it had to start this long after its submission.
+constexpr Seconds patience{600};
+constexpr Seconds largestBegin{240};  // what the operators ask of a class's largest jobs
+constexpr Seconds largestLead{120};   // to gather for them
+constexpr Seconds riskMargin{10};
+
+}  // namespace
+
+transport::WallTime Placement::latestStart(const Job& job) const {
+    // The next of the job's aims that can still be met. What has missed all of them goes behind,
+    // since hurrying it helps nobody, but it grows old and is not passed over for ever.
+    const auto now = context_.timers.wallNow();
+    std::optional<transport::WallTime> next;
+    const auto consider = [&](transport::WallTime latest) {
+        if (latest > now && (!next || latest < *next)) next = latest;
+    };
+    // A job that had to wait for others is late only from when it could have begun.
+    const auto sinceReady = [&job](Seconds time) { return plus(job.readySince, time); };
+    for (const auto& objective : context_.settings.objectives) {
+        if (objective.jobClass != job.spec.jobClass) continue;
+        if (objective.kind == app::ObjectiveKind::wait) consider(sinceReady(objective.within));
+        if (objective.kind == app::ObjectiveKind::finished)
+            consider(sinceReady(objective.within - job.spec.estimate));
+    }
+    if (job.spec.deadline) consider(plus(job.submitted, *job.spec.deadline - job.spec.estimate));
+    if (job.latestEnd) consider(plus(*job.latestEnd, -job.spec.estimate));
+    const auto latest = next ? *next : sinceReady(patience);
+    // A day on which a class's largest gangs don't begin in time is lost, and they need the most
+    // machines at once: behind what is easier to place, under half of them began.
+    if (isLargest(job) && now < sinceReady(largestBegin))
+        return std::min(latest, sinceReady(largestBegin - largestLead));
+    return latest;
+}
+
+bool Placement::isLargest(const Job& job) const {
+    const auto largest = largestGang_.find(job.spec.jobClass);
+    return job.spec.kind == JobKind::gang && job.spec.tasks > 1 && largest != largestGang_.end() &&
+           job.spec.tasks >= largest->second;
+}
+
+Seconds Placement::stepTime(const protocol::JobSpec& spec) const {
+    // A start waits for a worker's report, and so may an end that was reported while one was under
+    // way.
+    return spec.estimate + fetchTime(spec) + context_.settings.report;
+}
+
+Seconds Placement::fetchTime(const protocol::JobSpec& spec) const {
+    std::optional<double> fetch;
+    for (const auto& type : context_.catalog) {
+        if (!typeAllowed(spec, type, spec.zone.value_or(""), false)) continue;
+        const double here = spec.imageSize / type.fetchRate;
+        fetch = fetch ? std::min(*fetch, here) : here;
+    }
+    return Seconds(fetch.value_or(0));
+}
+
+bool Placement::atRisk(const Job& job) const {
+    const Seconds needed = fetchTime(job) + context_.settings.report * 2 + riskMargin;
+    return latestStart(job) < plus(context_.timers.wallNow(), needed);
+}
+
+bool Placement::before(const Job& one, const Job& other) const {
+    return std::tuple(one.priority, latestStart(one), one.spec.id) <
+           std::tuple(other.priority, latestStart(other), other.spec.id);
+}
+
+std::vector<Placement::Ready> Placement::readyJobs(Ledger& ledger, std::uint32_t part) {
+    std::vector<Ready> ready;
+    const auto now = context_.now();
+    for (const auto& [id, job] : ledger.jobs)
+        if (job.spec.kind == JobKind::gang && ledger.schedulable(job)) {
+            auto& largest = largestGang_[job.spec.jobClass];
+            largest = std::max(largest, job.spec.tasks);
+        }
+    for (auto& [id, job] : ledger.jobs) {
+        if (!ledger.startable(job) || now < job.notBefore) continue;
+        if (job.spec.kind == JobKind::gang && job.anyClaim()) {
+            if (job.part == part) stopBrokenGang(job);
+            continue;
+        }
+        if (job.failing()) {
+            if (mayProbe(job, part)) ready.push_back({&job, 1, latestStart(job), true});
+            continue;
+        }
+        std::uint32_t tasks = 0;
+        for (const auto& slice : job.slices)
+            if (slice.part == part) tasks += slice.waiting();
+        if (tasks > 0) ready.push_back({&job, tasks, latestStart(job)});
+    }
+    std::sort(ready.begin(), ready.end(), [](const Ready& a, const Ready& b) {
+        return std::tie(a.probe, a.job->priority, a.latest, a.job->spec.id) <
+               std::tie(b.probe, b.job->priority, b.latest, b.job->spec.id);
+    });
+    return ready;
+}
+
+bool Placement::mayProbe(const Job& job, std::uint32_t part) {
+    // One task at a time for the whole job, wherever its slices lie: by the first that waits.
+    if (job.anyClaim()) return false;
+    const auto first = std::find_if(job.slices.begin(), job.slices.end(),
+                                    [](const Slice& slice) { return slice.waiting() > 0; });
+    return first != job.slices.end() && first->part == part;
+}
+
+std::uint32_t Placement::mostToPlace(const Ready& ready) const {
+    if (ready.probe) return 1;
+    const Job& job = *ready.job;
+    if (job.spec.tasks <= unprovenTasks || job.doneTasks() > 0) return placementsPerRun;
+    // Of a large array with a mistake not all tasks have to fail to show it.
+    const auto now = context_.now();
+    std::uint32_t claimed = 0;
+    for (const auto& slice : job.slices)
+        for (const auto& claim : slice.claims) {
+            if (claim.ran && now - *claim.ran > ticks(context_.settings.report * 2))
+                return placementsPerRun;
+            ++claimed;
+        }
+    return std::min(placementsPerRun, unprovenTasks - std::min(unprovenTasks, claimed));
+}
+
+void Placement::stopBrokenGang(Job& job) {
+    if (job.complete() || job.claimedTasks() == job.spec.tasks) return;
+    // The rest would wait for a task that does not come back under this attempt.
+    for (auto& slice : job.slices) {
+        for (auto& claim : slice.claims) {
+            claim.giveUp = true;
+            claim.stopGrace = Seconds(0);
+        }
+    }
+}
+
+bool Placement::claimsWait(const Ledger& ledger, std::uint32_t part) const {
+    // Beyond what the state service writes, the claims of a guest's thousands of short tasks once
+    // waited for 150 s for their records and held their machines, and those of the hosts behind
+    // them (day fresh-5728 of vatback).
+    const auto oldest = context_.now() - longestRecording;
+    return std::any_of(ledger.jobs.begin(), ledger.jobs.end(), [&](const auto& entry) {
+        const auto& slices = entry.second.slices;
+        return std::any_of(slices.begin(), slices.end(), [&](const Slice& slice) {
+            return slice.part == part && slice.dirty &&
+                   std::any_of(slice.claims.begin(), slice.claims.end(), [&](const Claim& claim) {
+                       return !claim.durable && claim.made < oldest;
+                   });
+        });
+    });
+}
+
+std::vector<std::uint32_t> Placement::queueLengths() {
+    std::vector<std::uint32_t> lengths(context_.partCount(), 0);
+    const auto now = context_.now();
+    auto ledger = context_.ledger.lock();
+    for (const auto& [id, job] : ledger->jobs) {
+        if (!ledger->schedulable(job) || now < job.notBefore ||
+            (job.spec.kind == JobKind::gang && job.anyClaim()))
+            continue;
+        for (const auto& slice : job.slices)
+            if (slice.part < lengths.size()) lengths[slice.part] += slice.waiting();
+    }
+    return lengths;
+}
+
+std::uint32_t Placement::queueLength(std::uint32_t part) {
+    return queueLengths()[part];
+}
+
+}  // namespace fawnwheel::coordination
--- /dev/null
+++ b/src/coordination/room.cpp
@@ -0,0 +1,99 @@
+// How much of a job a part's machines have room for.
+#include <algorithm>
+
+#include "coordination/placement.h"
+
+namespace fawnwheel::coordination {
+
+namespace {
+
+using protocol::JobKind;
+
+constexpr Seconds loanClosedToOthers{45};  // to work that has waited for less
+
+}  // namespace
+
+bool Placement::mayUseLoan(const Job& job, const Machine& machine) const {
+    // A loan is for a gang's start only. But beside the gang's tasks there may be the only room
+    // that is left, and work that waits on and on beside it is not served (slice_left_behind).
+    if (!machine.lender || job.spec.kind == JobKind::gang) return true;
+    return !machine.claims.empty() &&
+           context_.timers.wallNow() > plus(job.readySince, loanClosedToOthers);
+}
+
+bool Placement::allowed(const Job& job, const Machine& machine) const {
+    const auto* type = context_.type(machine.type);
+    if (type == nullptr || !typeAllowed(job.spec, *type, machine.zone, machine.spot)) return false;
+    if (job.avoids(machine.id, context_.now())) return false;
+    if (!mayUseLoan(job, machine)) return false;
+    Resources room = type->capacity;
+    room -= machine.used;
+    if (context_.now() < machine.reservedUntil && machine.reservedFor != job.spec.id)
+        room -= machine.reservedRoom;
+    return job.spec.each.fits(room);
+}
+
+std::uint32_t Placement::fitsIn(const Job& job, Resources room, std::uint32_t most) {
+    std::uint32_t count = 0;
+    for (; count < most && job.spec.each.fits(room); ++count) room -= job.spec.each;
+    return count;
+}
+
+std::uint32_t Placement::roomFor(const Job& job, std::uint32_t part, std::uint32_t most) {
+    auto ledger = context_.ledger.lock();
+    if (job.spec.kind == JobKind::gang) return gangRoom(*ledger, part, job);
+    std::uint32_t room = 0;
+    // Of a peer's machines only the records are known, not whether they report.
+    const bool own = membership_.active(part);
+    const auto rivals = context_.isGuest(job) ? largestOfClasses(*ledger) : Rivals();
+    for (const auto* machine : ledger->machinesOf(part)) {
+        if (machine->retired || (own && !takesWork(*machine)) || !mayUseLoan(job, *machine))
+            continue;
+        const auto* type = context_.type(machine->type);
+        if (type == nullptr || !typeAllowed(job.spec, *type, machine->zone, machine->spot))
+            continue;
+        Resources free = type->capacity;
+        free -= machine->used;
+        const auto fits = fitsIn(job, free, most - room);
+        for (std::uint32_t i = 0; i < fits; ++i, free -= job.spec.each, ++room)
+            if (!rivals.empty() &&
+                placesClosed(rivals, *type, machine->zone, machine->spot, free, job).ofHosts > 0)
+                break;
+        if (room >= most) break;
+    }
+    return room;
+}
+
+std::uint32_t Placement::gangRoom(Ledger& ledger, std::uint32_t part, const Job& job) {
+    // All of it or nothing: a part with room for some of its tasks is of no use to it.
+    const bool own = membership_.active(part);
+    std::map<std::string, std::uint32_t> zones;
+    for (const auto* machine : ledger.machinesOf(part)) {
+        const auto* type = context_.type(machine->type);
+        if (machine->retired || (own && !takesWork(*machine)) || type == nullptr ||
+            !typeAllowed(job.spec, *type, machine->zone, machine->spot))
+            continue;
+        Resources free = type->capacity;
+        free -= machine->used;
+        if (context_.now() < machine->reservedUntil && machine->reservedFor != job.spec.id)
+            free -= machine->reservedRoom;
+        zones[job.spec.oneZone ? machine->zone : std::string()] +=
+            fitsIn(job, free, job.spec.tasks);
+    }
+    const bool fits = std::any_of(zones.begin(), zones.end(), [&](const auto& entry) {
+        return entry.second >= job.spec.tasks;
+    });
+    return fits ? job.spec.tasks : 0;
+}
+
+bool Placement::everFits(const Job& job, std::uint32_t part) {
+    auto ledger = context_.ledger.lock();
+    const auto& machines = ledger->machinesOf(part);
+    return std::any_of(machines.begin(), machines.end(), [&](const Machine* machine) {
+        const auto* type = context_.type(machine->type);
+        return !machine->retired && type != nullptr &&
+               typeAllowed(job.spec, *type, machine->zone, machine->spot);
+    });
+}
+
+}  // namespace fawnwheel::coordination
