--- a/src/coordination/queue_order.cpp
+++ b/src/coordination/queue_order.cpp
@@ -10,7 +10,7 @@
 using protocol::JobKind;
 
 constexpr std::uint32_t placementsPerRun = 64;
-constexpr std::chrono::seconds longestRecording{10};  // of claims, for more of guests to be made
+constexpr std::chrono::seconds longestRecording{30};  // of claims, for more of guests to be made
 constexpr std::uint32_t unprovenTasks = 256;  // at a time, of a job that has shown no task to run
 // What has no aim (left) is served as if it had to start this long after its submission.
 constexpr Seconds patience{600};
--- a/tests/sim/scenario_main.cpp
+++ b/tests/sim/scenario_main.cpp
@@ -250,6 +250,8 @@
             world.repeatRequests(line.numberAt(3), length(4));
         } else if (word == "late-writes") {
             world.lateWrites(line.numberAt(3), length(5));
+        } else if (word == "poll-storm") {
+            world.pollStorm(line.numberAt(3), length(5));
         } else if (word == "slow-state") {
             world.slowState(length(3), length(5));
         } else if (word == "mute") {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -139,6 +139,11 @@
         cancelAtEndShare_ = share;
         cancelAtEndUntil_ = now_ + length;
     }
+    // Users ask so many times as often.
+    void pollStorm(double factor, Time length) {
+        stormFactor_ = factor;
+        stormUntil_ = now_ + length;
+    }
     // Submissions are repeated, done jobs called off, and jobs sent that lack a field or fit
     // nowhere.
     void oddRequests(Time length);
@@ -301,6 +306,8 @@
     double cancelAtEndShare_ = 0;
     Time cancelAtEndUntil_{};
     Time oddUntil_{};
+    double stormFactor_ = 1;
+    Time stormUntil_{};
     int oddJobs_ = 0;
     Time givenAt_{};  // when the answer that is being taken in was given
 };
--- a/tests/sim/world_users.cpp
+++ b/tests/sim/world_users.cpp
@@ -83,7 +83,7 @@
 }
 
 void World::poll(const std::string& id) {
-    at(now_ + pollPeriod, [this, id] {
+    at(now_ + (now_ < stormUntil_ ? pollPeriod / stormFactor_ : pollPeriod), [this, id] {
         askAbout(id);
         poll(id);
     });
