Submissions with text that is not UTF-8 get 400 and end no controller

Cause: decodeCbor took in text strings of any bytes, since the JSON library does not check them in CBOR. Admission::fitsRecordLimits then measured the job's record with dump(), which throws for such text, and nothing below main catches it.

Records are still read with text of any encoding and a repeated submission of a job that exists still gets 200, because the version in production neither checks text nor measures the record and may have accepted such jobs: a strict read would keep the replica from ever being complete.

Why it works: text that is not UTF-8 no longer gets past the decoder into a new job, and the only function that threw on it can't throw any more.

--- a/src/coordination/api/admission.cpp
+++ b/src/coordination/api/admission.cpp
@@ -26,6 +26,10 @@
     return {503, {}, retryAfterSeconds};
 }
 
+HttpResponse malformed() {
+    return {400, {}, 0};
+}
+
 HttpResponse ok(const protocol::Json& body, int status = 200) {
     return {status, protocol::encodeCbor(body), 0};
 }
@@ -80,20 +84,24 @@
 bool Admission::fitsRecordLimits(const protocol::JobSpec& spec) const {
     Job job = makeJob(spec);
     job.partition = context_.partitionCount();
-    return storage::jobValue(job).dump().size() <= context_.settings.maxValueBytes() &&
+    return protocol::jsonSize(storage::jobValue(job)) <= context_.settings.maxValueBytes() &&
            spec.dependencies.size() + comparesPerNewJob <=
                context_.settings.maxTransactionCompares();
 }
 
 void Admission::submit(const std::string& body, HttpReply reply) {
-    const auto map = protocol::decodeCbor(body);
-    if (!map) return reply({400, {}, 0});
+    auto map = protocol::decodeCbor(body);
+    // A job whose text is not UTF-8 may have been accepted by a version that did not check it. Its
+    // submission may be repeated at any time, and is malformed only if the job does not exist.
+    const bool textValid = map.has_value();
+    if (!textValid) map = protocol::decodeCbor(body, protocol::TextEncoding::any);
+    if (!map) return reply(malformed());
     auto parsed = protocol::parseJobSpec(*map);
-    if (!std::holds_alternative<protocol::JobSpec>(parsed)) return reply({400, {}, 0});
+    if (!std::holds_alternative<protocol::JobSpec>(parsed)) return reply(malformed());
     auto& spec = std::get<protocol::JobSpec>(parsed);
     if (const auto terminal = statusReader_.cachedTerminalStatus(spec.id))
         return reply(makeStatusResponse(spec.id, *terminal, true));
-    if (!fitsRecordLimits(spec)) return reply({400, {}, 0});
+    if (!fitsRecordLimits(spec)) return reply(malformed());
     // If the node cannot accept jobs now, it responds at once and tells the user when to retry.
     if (!replica_.synced() || !context_.stateClient.reachable() || submissions_.isFull())
         return reply(unavailable());
@@ -102,7 +110,7 @@
     // it.
     if (context_.clusterState.lock()->job(spec.id) != nullptr)
         return respondForExistingJob(spec.id, reply);
-    if (auto rejection = validateSpec(spec))
+    if (auto rejection = textValid ? validateSpec(spec) : malformed())
         return statusReader_.readStatus(spec.id, ReadPurpose::decision,
                                         [this, id = spec.id, rejection, reply](JobStatus status) {
                                             if (status == JobStatus::undetermined)
--- a/src/protocol/cbor.h
+++ b/src/protocol/cbor.h
@@ -12,8 +12,20 @@
 
 /// Encodes the value as CBOR.
 std::string encodeCbor(const Json& value);
-/// Decodes one CBOR value; empty if the bytes are malformed or nested too deeply.
-std::optional<Json> decodeCbor(const std::string& bytes);
+
+/// The bytes that text strings of a CBOR value may consist of.
+enum class TextEncoding {
+    utf8,  ///< valid UTF-8, as RFC 8949, section 3.1, requires
+    any,   ///< any bytes; for records, which versions that did not check may have written
+};
+/// Decodes one CBOR value; empty if the bytes are malformed or nested too deeply, or if a text
+/// string has another encoding.
+std::optional<Json> decodeCbor(const std::string& bytes,
+                               TextEncoding encoding = TextEncoding::utf8);
+
+/// Size of the value as compact JSON, in bytes. This is the form in which the state service
+/// measures its limits. A byte that is not valid UTF-8 counts as U+FFFD, three bytes.
+[[nodiscard]] std::size_t jsonSize(const Json& value);
 
 /// Field readers that return the fallback if the field is missing or has another type. They are for
 /// messages from components that are trusted to send valid values.
--- a/src/protocol/cloud_client.cpp
+++ b/src/protocol/cloud_client.cpp
@@ -17,7 +17,7 @@
 
 std::optional<Json> bodyIfOk(const std::optional<transport::HttpResponse>& response) {
     if (!response || response->status != 200) return std::nullopt;
-    return decodeCbor(response->body);
+    return decodeCbor(response->body, TextEncoding::any);
 }
 
 std::vector<std::string> machineIds(const Json& answer) {
@@ -96,7 +96,7 @@
     enqueue({"POST", wire::pathMachines, encodeCbor(body)},
             [done = std::move(done)](const std::optional<transport::HttpResponse>& response) {
                 if (!response) return done(ProvisioningResult::unknown, {});
-                const auto answer = decodeCbor(response->body);
+                const auto answer = decodeCbor(response->body, TextEncoding::any);
                 if (response->status == 200 && answer)
                     return done(ProvisioningResult::provisioned, machineIds(*answer));
                 const bool full = response->status == 503 && answer && isCapacityError(*answer);
--- a/src/protocol/state_client.cpp
+++ b/src/protocol/state_client.cpp
@@ -50,8 +50,10 @@
 
 using Response = std::optional<transport::HttpResponse>;
 
+// Records may hold text of any encoding: versions that did not check submissions wrote it. If the
+// response were refused for it, the replica would never be complete.
 std::optional<Json> bodyOf(const Response& response) {
-    return response ? decodeCbor(response->body) : std::nullopt;
+    return response ? decodeCbor(response->body, TextEncoding::any) : std::nullopt;
 }
 
 CompareAndSwapResponse parseTransactionResponse(const Response& response) {
--- a/tests/sim/simulation.h
+++ b/tests/sim/simulation.h
@@ -152,6 +152,8 @@
         repeatedFraction_ = fraction;
         maxRepeatDelay_ = latest;
     }
+    // Writes a record as another version of the controllers might have.
+    void putRecord(const std::string& key, const protocol::Json& value);
     // Deletes the record without an event to any watch, to test the audit.
     void loseRecord(const std::string& key) { records_.erase(key); }
     // This fraction of transactions gets no response and is executed 2 to 12 s later.
@@ -183,7 +185,7 @@
         stormUntil_ = now_ + length;
     }
     // Users repeat submissions, cancel jobs that are done, and submit jobs that lack a field, have
-    // a malformed one or fit no machine.
+    // a malformed one or text that is not UTF-8, or fit no machine.
     void sendIrregularRequests(Time length);
     // Of the frames between nodes, the fraction `lost` is lost, and the fraction `copied` is
     // delivered a second time up to `latest` later.
@@ -306,6 +308,7 @@
     void auditClusterState(Node& node);
     [[nodiscard]] bool couldStart(const std::string& job);
     void submitInvalid(const std::string& job, const protocol::Json& body);
+    void submitInvalidText(protocol::JobSpec spec);
     void endTask(Worker& worker, Task& task, const char* cause, bool kept);
     void killAllTasks(Worker& worker);
     [[nodiscard]] protocol::Json heartbeatBody(Worker& worker) const;
--- a/tests/sim/simulation_state_service.cpp
+++ b/tests/sim/simulation_state_service.cpp
@@ -46,12 +46,21 @@
 }
 
 void Simulation::recordChange(const std::string& key, bool deleted) {
-    changeLog_.emplace_back(revision_, key,
-                            deleted ? std::nullopt : std::optional(records_[key].value));
-    history_.add(now_, "record", {key, deleted ? std::string() : records_[key].value.dump()});
+    std::optional<Json> value;
+    if (!deleted) value = records_[key].value;
+    const auto replaceInvalidText = Json::error_handler_t::replace;
+    history_.add(now_, "record",
+                 {key, value ? value->dump(-1, ' ', false, replaceInvalidText) : std::string()});
+    changeLog_.emplace_back(revision_, key, std::move(value));
     if (changeLog_.size() > keptChanges) changeLog_.pop_front();
 }
 
+void Simulation::putRecord(const std::string& key, const Json& value) {
+    records_[key] = {value, ++revision_, 0, now_};
+    recordChange(key, false);
+    answerWatches();
+}
+
 void Simulation::answerWatches() {
     if (now_ < stateOutageUntil_) return;
     for (const auto& watch : watches_) {
@@ -95,7 +104,7 @@
            std::all_of(writes.begin(), writes.end(), [this](const Json& write) {
                const auto value = write.find(wire::value);
                return value == write.end() ||
-                      static_cast<double>(value->dump().size()) <= limits_.valueKb * 1024;
+                      static_cast<double>(protocol::jsonSize(*value)) <= limits_.valueKb * 1024;
            });
 }
 
@@ -185,7 +194,8 @@
         return answerWatches();
     }
     if (stateRejects(from)) return reply(answer(503));
-    auto body = protocol::decodeCbor(request.body);
+    // The service does not check text.
+    auto body = protocol::decodeCbor(request.body, protocol::TextEncoding::any);
     if (path == wire::pathTransaction) {
         body = withoutUnsupportedWrites(from, std::move(*body));
         if (now_ >= writesDelayedUntil_ ||
--- a/tests/sim/simulation_users.cpp
+++ b/tests/sim/simulation_users.cpp
@@ -173,10 +173,20 @@
             body[wire::tasks] = "three";
     }
     submitInvalid(spec.id, body);
+    submitInvalidText(spec);
     if (now_ + Time(1) < irregularRequestsUntil_)
         at(now_ + Time(1), [this] { sendIrregularRequests(irregularRequestsUntil_ - now_); });
 }
 
+void Simulation::submitInvalidText(protocol::JobSpec spec) {
+    spec.id = "run-text-" + std::to_string(invalidJobCount_);
+    auto body = protocol::encodeJobSpec(spec);
+    const auto fields = {wire::jobClass, wire::team, wire::image, wire::zone};
+    body[*std::next(fields.begin(), static_cast<std::ptrdiff_t>(rng_() % fields.size()))] =
+        "text-\xff\xfe";
+    submitInvalid(spec.id, body);
+}
+
 void Simulation::submitInvalid(const std::string& id, const Json& body) {
     checker_.submittedInvalid(id);
     request("users", nodes_[static_cast<std::size_t>(randomNode())]->name,
--- a/tests/unit/protocol/messages_test.cpp
+++ b/tests/unit/protocol/messages_test.cpp
@@ -80,8 +80,9 @@
     EXPECT_FALSE(accepted(Json("text")));
 }
 
-// Damaged bytes must not crash the decoder or the parsers. Deep nesting and a huge claimed length
-// must be refused, because they could exhaust the stack or the memory.
+// Damaged bytes must not crash the decoder or the parsers, and whatever is decoded must be text
+// that can be encoded as JSON: a job's text that was not ended the controllers. Deep nesting and a
+// huge claimed length must be refused, because they could exhaust the stack or the memory.
 TEST(Cbor, RejectsMalformedAndDeeplyNestedInput) {
     std::mt19937 rng(7);
     const auto valid = encodeCbor(validJob());
@@ -92,6 +93,7 @@
         if (const auto decoded = decodeCbor(bytes)) {
             parseJobSpec(*decoded);
             parseHeartbeat(*decoded);
+            EXPECT_NO_THROW(static_cast<void>(decoded->dump()));
         }
     }
     EXPECT_FALSE(decodeCbor(std::string(60'000, '\x81')));
@@ -101,6 +103,41 @@
     EXPECT_TRUE(decodeCbor(valid));
 }
 
+// Text that is not UTF-8 is not CBOR, wherever it stands. It ended each controller that received it
+// in a submission (submission_text_test.cpp).
+TEST(Cbor, RejectsTextThatIsNotUtf8) {
+    const std::vector<std::string> valid{"",
+                                         "img-07",
+                                         "caf\xc3\xa9",
+                                         "\xe2\x82\xac",
+                                         "\xed\x9f\xbf",
+                                         "\xf4\x8f\xbf\xbf",
+                                         std::string(1, '\0')};
+    const std::vector<std::string> invalid{"img-\xff\xfe",       // no lead bytes
+                                           "\x80",               // continuation without a lead byte
+                                           "\xe2\x82",           // truncated
+                                           "\xc0\xaf",           // overlong
+                                           "\xed\xa0\x80",       // surrogate
+                                           "\xf4\x90\x80\x80"};  // above U+10FFFF
+    for (const auto& text : valid)
+        for (const Json& value : {Json(text), Json{{text, 1}}, Json{{"list", {1, text}}}})
+            EXPECT_EQ(decodeCbor(encodeCbor(value)), value) << value;
+    for (const auto& text : invalid)
+        for (const Json& value : {Json(text), Json{{text, 1}}, Json{{"list", {1, text}}}}) {
+            EXPECT_FALSE(decodeCbor(encodeCbor(value)));
+            EXPECT_EQ(decodeCbor(encodeCbor(value), TextEncoding::any), value);
+        }
+    // Text in chunks, each of which has to be valid by itself.
+    EXPECT_EQ(decodeCbor("\x7f\x62\xc3\xa9\x61z\xff"), Json("\xc3\xa9z"));
+    EXPECT_FALSE(decodeCbor("\x7f\x61\xc3\x61\xa9\xff"));
+}
+
+// Measuring a record that an earlier version wrote must not throw: the exception ended the process.
+TEST(Cbor, MeasuresTextOfAnyEncoding) {
+    EXPECT_EQ(jsonSize({{"k", "img"}}), std::string(R"({"k":"img"})").size());
+    EXPECT_EQ(jsonSize({{"k", "\xff"}}), std::string(R"({"k":"***"})").size());
+}
+
 // A heartbeat with a malformed task or machine name must be refused as a whole.
 TEST(Heartbeat, ParsesTasksAndRejectsMalformedNames) {
     Json body{{wire::machine, "m-1"},
