A machine type whose name is not UTF-8 ends no controller

What callers saw: with one such type in the cloud's catalog, the leader of partition 0 ended as soon as it had loaded the catalog, and so did each that took the partition next.

Cause: MachineCatalog::record measured the catalog's record with dump(), which throws for text that is not UTF-8; SliceWriter::cutsToFit measured slices, which hold machines' names, in the same way.

Change: both measure with jsonSize. parseCatalog leaves out types and zones with such names: a state service that checks text would refuse the whole record for one of them.

--- a/src/coordination/provisioning/machine_catalog.cpp
+++ b/src/coordination/provisioning/machine_catalog.cpp
@@ -52,7 +52,7 @@
                        clusterState->catalog.begin(), clusterState->catalog.end(), same))
             return;
     }
-    if (value.dump().size() > context_.settings.maxValueBytes()) return;
+    if (protocol::jsonSize(value) > context_.settings.maxValueBytes()) return;
     const auto types = context_.catalog;
     pipeline_.commit(
         0, {{{storage::keys::catalog, version}}, {{storage::keys::catalog, std::move(value), 0}}},
--- a/src/coordination/replication/slice_writer.cpp
+++ b/src/coordination/replication/slice_writer.cpp
@@ -60,7 +60,7 @@
             continue;
         const auto pieces = storage::cutSlice(slice, cutsAround(slice, {range}), 0);
         const auto& piece = range.first == slice.first ? pieces.front() : pieces[1];
-        if (storage::sliceValue(piece).dump().size() <= maxValueBytes_) continue;
+        if (protocol::jsonSize(storage::sliceValue(piece)) <= maxValueBytes_) continue;
         const auto half = range.count / 2;
         cuts.push_back(range.first + half);
         unchecked.push_back({range.first, half});
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "protocol/names.h"
+#include "protocol/utf8.h"
 
 namespace fawnwheel::protocol {
 
@@ -287,8 +288,9 @@
         type.spotPrice = numberOf(entry, wire::spotPrice);
         type.bootTime = Seconds(numberOf(entry, wire::bootTime));
         for (const auto& zone : listOf(entry, wire::zones))
-            if (zone.is_string()) type.zones.push_back(zone.get<std::string>());
-        if (!type.name.empty()) types.push_back(std::move(type));
+            if (zone.is_string() && isValidUtf8(zone.get_ref<const std::string&>()))
+                type.zones.push_back(zone.get<std::string>());
+        if (!type.name.empty() && isValidUtf8(type.name)) types.push_back(std::move(type));
     }
     return types;
 }
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -146,7 +146,8 @@
     std::vector<std::string> zones;
 };
 
-/// Parses the cloud's catalog of machine types.
+/// Parses the cloud's catalog of machine types. Types and zones whose names are not UTF-8 are left
+/// out.
 std::vector<MachineType> parseCatalog(const Json& body);
 Json encodeCatalog(const std::vector<MachineType>& types);
 
--- a/tests/unit/protocol/messages_test.cpp
+++ b/tests/unit/protocol/messages_test.cpp
@@ -138,6 +138,17 @@
     EXPECT_EQ(jsonSize({{"k", "\xff"}}), std::string(R"({"k":"***"})").size());
 }
 
+// The cloud's text is not checked by the decoder, so that one bad entry does not hide the others.
+TEST(Catalog, LeavesOutTypesAndZonesWithInvalidText) {
+    const Json body{{wire::types,
+                     {{{wire::name, "g8"}, {wire::zones, {"a", "z\xff"}}},
+                      {{wire::name, "g\xff"}, {wire::zones, {"a"}}}}}};
+    const auto types = parseCatalog(body);
+    ASSERT_EQ(types.size(), 1U);
+    EXPECT_EQ(types[0].name, "g8");
+    EXPECT_EQ(types[0].zones, std::vector<std::string>{"a"});
+}
+
 // A heartbeat with a malformed task or machine name must be refused as a whole.
 TEST(Heartbeat, ParsesTasksAndRejectsMalformedNames) {
     Json body{{wire::machine, "m-1"},
