A heartbeat with text that is not UTF-8 gets 400 and does not block other machines

What callers saw: while an unrecorded machine sent heartbeats whose own name or zone is not UTF-8, one of three jobs still waited after 57 s beside idle machines.

Cause: the heartbeat was taken in, and the machine used as far as its record. The state service refused that transaction, and with it the records of the other machines of the batch, which were written again together.

Change: heartbeats are decoded with the check of text; a machine's name may hold no control characters either, since it becomes part of a key and of a request's path (validMachineId).

Why it works: a record is written only after a heartbeat that shows our token, and such a heartbeat is no longer answered 200. What the cloud's list says of such a machine leads to no record by itself.

--- a/src/coordination/api/http_router.cpp
+++ b/src/coordination/api/http_router.cpp
@@ -52,7 +52,7 @@
 }
 
 void HttpRouter::handleHeartbeat(const std::string& body, const HttpReply& reply) {
-    const auto map = protocol::decodeCbor(body, protocol::TextEncoding::any);
+    const auto map = protocol::decodeCbor(body);
     const auto heartbeat = map ? protocol::parseHeartbeat(*map) : std::nullopt;
     if (!heartbeat) return reply({400, {}, 0});
     reachability_.onHeartbeat();
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -124,6 +124,13 @@
 
 }  // namespace
 
+bool validMachineId(const std::string& id) {
+    if (id.empty() || id.size() > maxTextLength || !isValidUtf8(id)) return false;
+    return std::none_of(id.begin(), id.end(), [](unsigned char c) {
+        return std::iscntrl(c) != 0 || c == ' ' || c == '/';
+    });
+}
+
 bool validJobId(const std::string& id) {
     const std::string_view prefix = wire::jobPrefix;
     if (id.size() <= prefix.size() || id.size() > maxTextLength || !id.starts_with(prefix))
@@ -239,9 +246,7 @@
         task.saved = flagOf(entry, wire::saved);
         heartbeat.tasks.push_back(std::move(task));
     }
-    if (heartbeat.machine.empty() || heartbeat.machine.size() > maxTextLength ||
-        heartbeat.machine.find_first_of(" /") != std::string::npos || heartbeat.agentEpoch == 0)
-        return std::nullopt;
+    if (!validMachineId(heartbeat.machine) || heartbeat.agentEpoch == 0) return std::nullopt;
     return heartbeat;
 }
 
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -72,6 +72,9 @@
 std::variant<JobSpec, std::string> parseJobSpec(const Json& body);
 Json encodeJobSpec(const JobSpec& spec);
 bool validJobId(const std::string& id);
+/// Whether the name of a machine can be part of a record's key: at most 120 bytes of UTF-8 without
+/// spaces, control characters and slashes.
+bool validMachineId(const std::string& id);
 
 /// State of a task as reported by its worker.
 enum class TaskState { fetching, waiting, running, saving, exited };
--- a/tests/sim/simulation.h
+++ b/tests/sim/simulation.h
@@ -94,6 +94,7 @@
     // Nodes behave as the version in production until they are upgraded: they write no record that
     // announces the new version, so that no node uses its formats, and ignore announced limits.
     bool oldVersion = false;
+    bool stateChecksText = false;            // the state service refuses text that is not UTF-8
     ExternalNodes* externalNodes = nullptr;  // null: the nodes run inside the simulation
 };
 
@@ -121,6 +122,10 @@
     // Posts any body once, without retries, to a random node that serves. `done` gets the HTTP
     // status, 0 if there was no response, and the job's state.
     void post(const protocol::Json& body, std::function<void(int status, std::string state)> done);
+    // Sends a heartbeat of a machine that is not simulated to a node, without retries. `done` gets
+    // the HTTP status, 0 if there was no response, and the fencing token.
+    void postHeartbeat(int node, const protocol::Json& body,
+                       std::function<void(int status, std::uint64_t fencingToken)> done);
     void cancel(const std::string& job);
     void getStatus(const std::string& job);
 
--- a/tests/sim/simulation_state_service.cpp
+++ b/tests/sim/simulation_state_service.cpp
@@ -194,8 +194,11 @@
         return answerWatches();
     }
     if (stateRejects(from)) return reply(answer(503));
-    // The service does not check text.
-    auto body = protocol::decodeCbor(request.body, protocol::TextEncoding::any);
+    const auto encoding =
+        spec_.stateChecksText ? protocol::TextEncoding::utf8 : protocol::TextEncoding::any;
+    auto body = protocol::decodeCbor(request.body, encoding);
+    if (!body && request.method == "POST" && path == wire::pathTransaction)
+        return reply(answer(400));
     if (path == wire::pathTransaction) {
         body = withoutUnsupportedWrites(from, std::move(*body));
         if (now_ >= writesDelayedUntil_ ||
--- a/tests/sim/simulation_workers.cpp
+++ b/tests/sim/simulation_workers.cpp
@@ -67,6 +67,18 @@
     return body;
 }
 
+void Simulation::postHeartbeat(int node, const Json& body,
+                               std::function<void(int status, std::uint64_t fencingToken)> done) {
+    request("users", nodes_[static_cast<std::size_t>(node)]->name,
+            {"POST", wire::pathHeartbeat, protocol::encodeCbor(body)}, heartbeatTimeout,
+            [done = std::move(done)](const std::optional<HttpResponse>& response) {
+                const auto answered =
+                    response ? protocol::decodeCbor(response->body) : std::nullopt;
+                done(response ? response->status : 0,
+                     answered ? protocol::countOf(*answered, wire::fencingToken) : 0);
+            });
+}
+
 void Simulation::scheduleHeartbeat(Worker& w) {
     if (w.heartbeatScheduled) return;
     w.heartbeatScheduled = true;
--- a/tests/unit/protocol/messages_test.cpp
+++ b/tests/unit/protocol/messages_test.cpp
@@ -171,8 +171,12 @@
     body[wire::tasks][0][wire::task] = "run-1";
     EXPECT_FALSE(parseHeartbeat(body));
     body[wire::tasks] = Json::array();
-    body[wire::machine] = "m/1";
-    EXPECT_FALSE(parseHeartbeat(body));
+    for (const auto* machine : {"m/1", "m 1", "m-1\r\n", "m-\xff", ""}) {
+        body[wire::machine] = machine;
+        EXPECT_FALSE(parseHeartbeat(body)) << machine;
+    }
+    body[wire::machine] = "m-1";
+    EXPECT_TRUE(parseHeartbeat(body));
 }
 
 }  // namespace
