A repeated submission of an accepted job gets 200 after the state service's limits fell

Found in virtual time while making sure that the new 400 for text never meets an accepted job.

Cause: Admission::submit compared the record's size with the limits before it looked whether the job exists.

Change: the size is one of the checks of validateSpec, whose outcome counts only once the state service has confirmed that there is no such job. While it can't be reached, a job that is too large now gets 503, not 400.

--- a/src/coordination/api/admission.cpp
+++ b/src/coordination/api/admission.cpp
@@ -56,6 +56,7 @@
 }
 
 std::optional<HttpResponse> Admission::validateSpec(const protocol::JobSpec& spec) const {
+    if (!fitsRecordLimits(spec)) return malformed();
     const auto* team = context_.findTeam(spec.team);
     if (team == nullptr && !context_.settings.teams.empty()) return HttpResponse{422, {}, 0};
     if (context_.catalog.empty()) return unavailable();
@@ -101,13 +102,12 @@
     auto& spec = std::get<protocol::JobSpec>(parsed);
     if (const auto terminal = statusReader_.cachedTerminalStatus(spec.id))
         return reply(makeStatusResponse(spec.id, *terminal, true));
-    if (!fitsRecordLimits(spec)) return reply(malformed());
     // If the node cannot accept jobs now, it responds at once and tells the user when to retry.
     if (!replica_.synced() || !context_.stateClient.reachable() || submissions_.isFull())
         return reply(unavailable());
     reply = withConcurrencyLimit(submissions_, std::move(reply));
-    // An accepted job stays accepted, even if the catalog or the teams' settings no longer allow
-    // it.
+    // An accepted job stays accepted, even if the catalog, the teams' settings or the state
+    // service's limits no longer allow it.
     if (context_.clusterState.lock()->job(spec.id) != nullptr)
         return respondForExistingJob(spec.id, reply);
     if (auto rejection = textValid ? validateSpec(spec) : malformed())
--- a/src/coordination/api/admission.h
+++ b/src/coordination/api/admission.h
@@ -85,8 +85,8 @@
     /// Returns a reply that counts as a request in progress in the limiter until it is called.
     [[nodiscard]] transport::HttpReply withConcurrencyLimit(ConcurrencyLimiter& limiter,
                                                             transport::HttpReply reply);
-    /// Returns the rejection of a job that the teams' settings or the catalog do not allow, or
-    /// none.
+    /// Returns the rejection of a job that the state service's limits, the teams' settings or the
+    /// catalog do not allow, or none.
     [[nodiscard]] std::optional<transport::HttpResponse> validateSpec(
         const protocol::JobSpec& spec) const;
     /// Whether any machine type can run one of the job's tasks.
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -1,6 +1,8 @@
 #include "protocol/messages.h"
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <charconv>
 #include <cmath>
 #include <set>
--- a/tests/unit/coordination/api/admission_test.cpp
+++ b/tests/unit/coordination/api/admission_test.cpp
@@ -154,5 +154,39 @@
     EXPECT_EQ(statuses[90], 201);
 }
 
+// The state service's limits fall after the job was accepted by the previous version, and its
+// record is larger than a new one may be. A repeated submission was answered 400, as if there were
+// no job.
+TEST(SubmissionDuringUpgrade, JobAcceptedUnderHigherLimitsStaysAccepted) {
+    auto spec = smallSimulationSpec();
+    spec.oldVersion = true;
+    spec.announcedLimits = RecordLimits{1, 4};
+    Simulation simulation(spec);
+    auto job = smallJob("run-wide");
+    job.types = {{"small"}};
+    for (int i = 0; i < 200; ++i) job.types->push_back("type-" + std::to_string(i));
+    const auto body = protocol::encodeJobSpec(job);
+    std::map<int, int> statuses;  // by second of the request
+    for (const int second : {5, 70})
+        simulation.at(Time(second), [&simulation, &statuses, body, second] {
+            simulation.post(body, [&statuses, second](int status, const std::string&) {
+                statuses[second] = status;
+            });
+        });
+    for (int node = 0; node < simulation.nodeCount(); ++node)
+        simulation.at(Time(20 + 10 * node),
+                      [&simulation, node] { simulation.upgrade(node, Time(2)); });
+    auto other = body;
+    other[wire::id] = "run-wide-2";
+    simulation.at(Time(72), [&simulation, &statuses, other] {
+        simulation.post(other,
+                        [&statuses](int status, const std::string&) { statuses[72] = status; });
+    });
+    simulation.run(Time(80));
+    EXPECT_EQ(statuses[5], 201);
+    EXPECT_EQ(statuses[70], 200);
+    EXPECT_EQ(statuses[72], 400);
+}
+
 }  // namespace
 }  // namespace fawnwheel::sim
