--- a/src/coordination/api/admission.cpp
+++ b/src/coordination/api/admission.cpp
@@ -3,7 +3,6 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <cmath>
 
 #include "protocol/names.h"
 #include "storage/records.h"
@@ -19,15 +18,21 @@
 
 constexpr int maxTries = 4;
 constexpr int retryAfterSeconds = 1;
-constexpr double quotaTolerance = 1e-9;
-constexpr std::size_t comparesPerNewJob = 2;  // the absence of its active and terminal records
 
 HttpResponse unavailable() {
     return {503, {}, retryAfterSeconds};
 }
 
-HttpResponse malformed() {
-    return {400, {}, 0};
+HttpResponse responseTo(SubmissionError error) {
+    switch (error) {
+        case SubmissionError::malformed:
+            return {400, {}, 0};
+        case SubmissionError::unsatisfiable:
+            return {422, {}, 0};
+        case SubmissionError::undecidable:
+            break;
+    }
+    return unavailable();
 }
 
 HttpResponse ok(const protocol::Json& body, int status = 200) {
@@ -45,82 +50,29 @@
     };
 }
 
-bool Admission::fitsSomeMachineType(const protocol::JobSpec& spec) const {
-    return std::any_of(
-        context_.catalog.begin(), context_.catalog.end(), [&spec](const MachineType& type) {
-            const bool offeredInZone = !spec.zone || std::find(type.zones.begin(), type.zones.end(),
-                                                               *spec.zone) != type.zones.end();
-            return offeredInZone &&
-                   Placement::typeAllowed(spec, type, spec.zone.value_or(""), false);
-        });
-}
-
-std::optional<HttpResponse> Admission::validateSpec(const protocol::JobSpec& spec) const {
-    if (!fitsRecordLimits(spec)) return malformed();
-    const auto* team = context_.findTeam(spec.team);
-    if (team == nullptr && !context_.settings.teams.empty()) return HttpResponse{422, {}, 0};
-    if (context_.catalog.empty()) return unavailable();
-    if (!fitsSomeMachineType(spec)) return HttpResponse{422, {}, 0};
-    if (team != nullptr) {
-        const double concurrentTasks = spec.kind == protocol::JobKind::array ? 1 : spec.tasks;
-        if ((team->cpusMax > 0 &&
-             spec.taskResources.cpus * concurrentTasks > team->cpusMax + quotaTolerance) ||
-            (team->gpusMax > 0 &&
-             spec.taskResources.gpus * concurrentTasks > team->gpusMax + quotaTolerance))
-            return HttpResponse{422, {}, 0};
-    }
-    return std::nullopt;
-}
-
-Job Admission::makeJob(const protocol::JobSpec& spec) const {
-    Job job;
-    job.spec = spec;
-    job.submitted = context_.timers.wallNow();
-    job.sliceSize = storage::sliceSizeFor(
-        spec, {context_.settings.maxValueKb, context_.settings.stateWritesPerSecond},
-        context_.jobDependenciesEnabled(*context_.clusterState.lock()));
-    return job;
-}
-
-bool Admission::fitsRecordLimits(const protocol::JobSpec& spec) const {
-    Job job = makeJob(spec);
-    job.partition = context_.partitionCount();
-    return protocol::jsonSize(storage::jobValue(job)) <= context_.settings.maxValueBytes() &&
-           spec.dependencies.size() + comparesPerNewJob <=
-               context_.settings.maxTransactionCompares();
-}
-
 void Admission::submit(const std::string& body, HttpReply reply) {
-    auto map = protocol::decodeCbor(body);
-    // A job whose text is not UTF-8 may have been accepted by a version that did not check it. Its
-    // submission may be repeated at any time, and is malformed only if the job does not exist.
-    const bool textValid = map.has_value();
-    if (!textValid) map = protocol::decodeCbor(body, protocol::TextEncoding::any);
-    if (!map) return reply(malformed());
-    auto parsed = protocol::parseJobSpec(*map);
-    if (!std::holds_alternative<protocol::JobSpec>(parsed)) return reply(malformed());
-    auto& spec = std::get<protocol::JobSpec>(parsed);
-    if (const auto terminal = statusReader_.cachedTerminalStatus(spec.id))
-        return reply(makeStatusResponse(spec.id, *terminal, true));
+    auto decoded = SubmissionValidator::decode(body);
+    if (!decoded) return reply(responseTo(SubmissionError::malformed));
+    const auto& id = decoded->spec.id;
+    if (const auto terminal = statusReader_.cachedTerminalStatus(id))
+        return reply(makeStatusResponse(id, *terminal, true));
     // If the node cannot accept jobs now, it responds at once and tells the user when to retry.
     if (!replica_.synced() || !context_.stateClient.reachable() || submissions_.isFull())
         return reply(unavailable());
     reply = withConcurrencyLimit(submissions_, std::move(reply));
-    // An accepted job stays accepted, even if the catalog, the teams' settings or the state
-    // service's limits no longer allow it.
-    if (context_.clusterState.lock()->job(spec.id) != nullptr)
-        return respondForExistingJob(spec.id, reply);
-    if (auto rejection = textValid ? validateSpec(spec) : malformed())
-        return statusReader_.readStatus(spec.id, ReadPurpose::decision,
-                                        [this, id = spec.id, rejection, reply](JobStatus status) {
-                                            if (status == JobStatus::undetermined)
-                                                return reply(unavailable());
-                                            if (status == JobStatus::unknownJob)
-                                                return reply(*rejection);
-                                            respond(id, status, true, reply);
-                                        });
+    if (context_.clusterState.lock()->job(id) != nullptr) return respondForExistingJob(id, reply);
+    if (const auto error = validator_.validate(*decoded)) return rejectNewJob(id, *error, reply);
     accept(std::make_shared<Submission>(
-        Submission{std::move(spec), std::move(reply), 0, std::map<std::string, bool>{}}));
+        Submission{std::move(decoded->spec), std::move(reply), 0, std::map<std::string, bool>{}}));
+}
+
+void Admission::rejectNewJob(const std::string& id, SubmissionError error, const HttpReply& reply) {
+    // An accepted job stays accepted, even if the catalog, the teams' settings or the state
+    // service's limits no longer allow it, or an earlier version did not check its text.
+    statusReader_.readStatus(id, ReadPurpose::decision, [this, id, error, reply](JobStatus status) {
+        if (status == JobStatus::unknownJob) return reply(responseTo(error));
+        respond(id, status, true, reply);
+    });
 }
 
 void Admission::respondForExistingJob(const std::string& id, const HttpReply& reply) {
@@ -207,7 +159,7 @@
 
 void Admission::create(const SubmissionPtr& submission, const DependencyCheck& dependencyCheck) {
     const auto& spec = submission->spec;
-    Job job = makeJob(spec);
+    Job job = validator_.makeJob(spec);
     job.partition = migrator_.choosePartition(job);
     const auto key = storage::keys::job(spec.id);
     const auto value = storage::jobValue(job);
--- a/src/coordination/api/admission.h
+++ b/src/coordination/api/admission.h
@@ -13,6 +13,7 @@
 
 #include "coordination/api/concurrency_limiter.h"
 #include "coordination/api/job_status_reader.h"
+#include "coordination/api/submission_validator.h"
 #include "coordination/migration/work_migrator.h"
 #include "coordination/replication/replica.h"
 
@@ -39,6 +40,7 @@
     Admission(Context& context, const Replica& replica, JobStatusReader& statusReader,
               WorkMigrator& migrator, AdmissionObserver& observer)
         : context_(context),
+          validator_(context),
           replica_(replica),
           statusReader_(statusReader),
           migrator_(migrator),
@@ -85,16 +87,9 @@
     /// Returns a reply that counts as a request in progress in the limiter until it is called.
     [[nodiscard]] transport::HttpReply withConcurrencyLimit(ConcurrencyLimiter& limiter,
                                                             transport::HttpReply reply);
-    /// Returns the rejection of a job that the state service's limits, the teams' settings or the
-    /// catalog do not allow, or none.
-    [[nodiscard]] std::optional<transport::HttpResponse> validateSpec(
-        const protocol::JobSpec& spec) const;
-    /// Whether any machine type can run one of the job's tasks.
-    [[nodiscard]] bool fitsSomeMachineType(const protocol::JobSpec& spec) const;
-    /// Whether the job's record and the conditions for creating it are within the state service's
-    /// limits.
-    [[nodiscard]] bool fitsRecordLimits(const protocol::JobSpec& spec) const;
-    [[nodiscard]] Job makeJob(const protocol::JobSpec& spec) const;
+    /// Responds to a submission with this error: reads first whether the job exists.
+    void rejectNewJob(const std::string& id, SubmissionError error,
+                      const transport::HttpReply& reply);
 
     [[nodiscard]] DependencyCheck checkDependencies(ClusterState& clusterState,
                                                     const Submission& submission) const;
@@ -111,6 +106,7 @@
                     const protocol::CompareAndSwapResponse& response);
 
     Context& context_;
+    SubmissionValidator validator_;
     const Replica& replica_;
     JobStatusReader& statusReader_;
     WorkMigrator& migrator_;
