A heartbeat with tasks is answered only by the leader whom the machine's record names

Cause: HeartbeatValidator answered for each machine that this node held in a partition that it led, also without a record. The node that provisions a machine and the leader of its default partition may both hold it until its record is durable. The one that the record does not name renewed the worker's lease, which the other one counted from its own last answer.

Evidence: heartbeat: first_heartbeat now shows recorded=.

Change: without a record, a heartbeat that shows tasks gets 503. Tasks show that some record is durable and that its leader counts the lease. Heartbeats without tasks are answered as before, so that a new machine gets work as soon as its record is durable: a task starts only by the answer to a later heartbeat, from which its leader counts anew.

--- a/src/coordination/migration/machine_lending.cpp
+++ b/src/coordination/migration/machine_lending.cpp
@@ -51,7 +51,7 @@
         Lender lender{other, 0, 0, 0};
         for (const auto* machine : clusterState.machinesOf(other)) {
             const auto* type = context_.findMachineType(machine->type);
-            if (machine->decommissioned || machine->version == 0 || type == nullptr ||
+            if (machine->decommissioned || !machine->recorded() || type == nullptr ||
                 (!entry.zone.empty() && machine->zone != entry.zone) ||
                 !Placement::typeAllowed(gang.spec, *type, machine->zone, machine->spot))
                 continue;
--- a/src/coordination/migration/rebalancer.cpp
+++ b/src/coordination/migration/rebalancer.cpp
@@ -193,7 +193,7 @@
 
 bool Rebalancer::isTransferable(const ClusterState& clusterState, const Machine& machine,
                                 const rebalancing::Recipient& recipient) const {
-    return machine.version != 0 && !machine.decommissioned && !machine.lender &&
+    return machine.recorded() && !machine.decommissioned && !machine.lender &&
            !machine.transferring && !machine.consolidating && !machine.interruptionAt &&
            !rebalancing::isReservedForOtherWork(clusterState, machine, recipient, context_.now()) &&
            context_.now() - machine.knownSince >=
--- a/src/coordination/provisioning/autoscaler.cpp
+++ b/src/coordination/provisioning/autoscaler.cpp
@@ -72,8 +72,7 @@
         const auto* type = context_.findMachineType(machine->type);
         // A machine that is up but not yet recorded or acknowledged takes no tasks yet, so it
         // counts as booting.
-        const bool inUse =
-            machine->lastHeartbeat && machine->version != 0 && machine->acknowledged();
+        const bool inUse = machine->lastHeartbeat && machine->recorded() && machine->acknowledged();
         if (machine->decommissioned || inUse || type == nullptr ||
             now - machine->knownSince > bootTimeout(*type))
             continue;
--- a/src/coordination/provisioning/decommissioner.cpp
+++ b/src/coordination/provisioning/decommissioner.cpp
@@ -77,7 +77,7 @@
     // The end of an allocation can't be recorded while the allocation is still being written, so
     // the machine stays until it has none.
     if (machine == nullptr || !machine->allocations.empty()) return;
-    if (machine->version == 0 && !records_.isPending(Change::record, id))
+    if (!machine->recorded() && !records_.isPending(Change::record, id))
         return clusterState->removeMachine(id);
     records_.write(Change::drop, partition, id);
 }
--- a/src/coordination/provisioning/machine_reconciler.cpp
+++ b/src/coordination/provisioning/machine_reconciler.cpp
@@ -164,7 +164,7 @@
     for (auto* machine : clusterState->machinesOf(partition)) {
         const auto* type = context_.findMachineType(machine->type);
         if (machine->decommissioned || type == nullptr) continue;
-        if (machine->version == 0)
+        if (!machine->recorded())
             reconcileUnrecorded(partition, *machine, *type);
         else if (const auto reason = decommissionReason(*machine, *type, unresponsive))
             decommissioner_.decommission(*machine, *reason);
--- a/src/coordination/provisioning/machine_records.cpp
+++ b/src/coordination/provisioning/machine_records.cpp
@@ -88,7 +88,7 @@
             if (committed) {
                 machine.version = std::max(machine.version, revision);
                 context_.clusterState.lock()->corruptMachines.erase(machine.id);
-            } else if (machine.version == 0 && result != CommitResult::partitionLost) {
+            } else if (!machine.recorded() && result != CommitResult::partitionLost) {
                 // Another machine of the batch caused the conflict; retry this one.
                 write(Change::record, machine.partition, machine.id);
             }
--- a/src/coordination/provisioning/warm_pool.cpp
+++ b/src/coordination/provisioning/warm_pool.cpp
@@ -59,7 +59,7 @@
     if (guaranteed_.cpus <= 0 && guaranteed_.gpus <= 0) return;
     for (const auto& [id, machine] : clusterState.machines) {
         const auto* type = context_.findMachineType(machine.type);
-        if (machine.decommissioned || machine.version == 0 || type == nullptr) continue;
+        if (machine.decommissioned || !machine.recorded() || type == nullptr) continue;
         upGpus_ += type->capacity.gpus;
         if (type->capacity.gpus <= 0) upCpus_ += type->capacity.cpus;
     }
--- a/src/coordination/scheduling/placement_constraints.cpp
+++ b/src/coordination/scheduling/placement_constraints.cpp
@@ -47,7 +47,7 @@
 }
 
 bool acceptsTasks(const Context& context, const Machine& machine, SteadyTime now) {
-    return machine.version != 0 && machine.acknowledged() && !machine.transferring &&
+    return machine.recorded() && machine.acknowledged() && !machine.transferring &&
            !machine.decommissioned && !machine.consolidating && !machine.interruptionAt &&
            machine.lastHeartbeat &&
            now - *machine.lastHeartbeat <
--- a/src/coordination/workers/heartbeat_validator.cpp
+++ b/src/coordination/workers/heartbeat_validator.cpp
@@ -1,5 +1,7 @@
 #include "coordination/workers/heartbeat_validator.h"
 
+#include <spdlog/spdlog.h>
+
 #include "coordination/workers/fencing.h"
 
 namespace fawnwheel::coordination {
@@ -38,10 +40,26 @@
     if (!membership_.isLeader(machine->partition) ||
         !membership_.canAnswerWorkers(machine->partition))
         return unavailable();
+    if (!mayRenewLease(*machine, heartbeat)) {
+        spdlog::debug("heartbeat: unrecorded_machine_refused machine={} tasks={}", machine->id,
+                      heartbeat.tasks.size());
+        return unavailable();
+    }
     if (!advanceToken(*machine, heartbeat) || isStale(*machine, heartbeat)) return unavailable();
     return std::nullopt;
 }
 
+bool HeartbeatValidator::mayRenewLease(const Machine& machine,
+                                       const protocol::Heartbeat& heartbeat) {
+    // Only a machine's record says which leader responds to its worker. Until it is durable, the
+    // node that provisioned the machine and the leader of its default partition may both hold the
+    // machine. A task shows that the record of one of them is durable and that its leader counts
+    // the worker's lease: a renewal here would let the task outlive that count (scenario
+    // unrecorded_machine_with_two_leaders). Without tasks a renewal is harmless: a task starts only
+    // by the response to a later heartbeat, from which its leader counts anew.
+    return machine.recorded() || heartbeat.tasks.empty();
+}
+
 bool HeartbeatValidator::advanceToken(Machine& machine,
                                       const protocol::Heartbeat& heartbeat) const {
     refreshToken(machine);
--- a/src/coordination/workers/heartbeat_validator.h
+++ b/src/coordination/workers/heartbeat_validator.h
@@ -30,6 +30,9 @@
     /// 503.
     [[nodiscard]] HeartbeatResponse redirectToLeader(const ClusterState& clusterState,
                                                      const std::string& leader) const;
+    /// Whether no other leader can be counting the worker's lease, so that a response may renew it.
+    [[nodiscard]] static bool mayRenewLease(const Machine& machine,
+                                            const protocol::Heartbeat& heartbeat);
     /// Raises the machine's fencing token to at least the heartbeat's. Returns false if that is not
     /// allowed now.
     [[nodiscard]] bool advanceToken(Machine& machine, const protocol::Heartbeat& heartbeat) const;
--- a/src/coordination/workers/machine_status_applier.cpp
+++ b/src/coordination/workers/machine_status_applier.cpp
@@ -24,8 +24,8 @@
 void MachineStatusApplier::recordHeartbeat(Machine& machine, const protocol::Heartbeat& heartbeat) {
     const auto now = context_.now();
     if (!machine.lastHeartbeat) {
-        spdlog::debug("heartbeat: first_heartbeat machine={} partition={}", machine.id,
-                      machine.partition);
+        spdlog::debug("heartbeat: first_heartbeat machine={} partition={} recorded={}", machine.id,
+                      machine.partition, machine.recorded());
         machine.idleSince = now;
         observer_.onWorkersChanged();
     }
--- a/src/rebalancing/handover.cpp
+++ b/src/rebalancing/handover.cpp
@@ -19,7 +19,7 @@
 std::optional<Refusal> refusalOf(const ClusterState& clusterState, const Machine& machine,
                                  const HandoverRules& rules) {
     if (machine.partition != rules.partition) return Refusal::notOurs;
-    if (machine.version == 0) return Refusal::notRecorded;
+    if (!machine.recorded()) return Refusal::notRecorded;
     if (machine.decommissioned || machine.consolidating || machine.interruptionAt ||
         machine.unschedulableUntil > rules.now)
         return Refusal::draining;
--- a/src/storage/machine.h
+++ b/src/storage/machine.h
@@ -42,6 +42,10 @@
     std::string transferredBy;            ///< node that last transferred it together with its tasks
     bool decommissioned = false;  ///< a release was or will be sent: no work is placed on it again
     std::uint64_t version = 0;    ///< 0: no record yet, so that no work is placed
+
+    /// Whether the state service holds a record of the machine. Without one, two nodes may hold the
+    /// machine in partitions that they lead.
+    [[nodiscard]] bool recorded() const { return version != 0; }
 };
 
 /// Observations of a machine from heartbeats and the cloud's lists, and decisions of this process
--- a/src/storage/record_replay.cpp
+++ b/src/storage/record_replay.cpp
@@ -109,7 +109,7 @@
     if (!event.value) {
         clusterState.corruptMachines.erase(id);
         // A machine with version 0 has no record yet: its first write is in flight.
-        if (known != nullptr && known->version > 0) clusterState.removeMachine(id);
+        if (known != nullptr && known->recorded()) clusterState.removeMachine(id);
         return;
     }
     const Json& value = *event.value;
--- a/tests/sim/scenario_main.cpp
+++ b/tests/sim/scenario_main.cpp
@@ -158,6 +158,8 @@
         if (word == "lease") spec.lease = Time(line.numberAt(1));
         if (word == "cancel-limit") spec.cancel = Time(line.numberAt(1));
         if (word == "list-lag") spec.listLag = Time(line.numberAt(1));
+        if (word == "node-lease") spec.operatorSettings.nodeLease = Time(line.numberAt(1));
+        if (word == "first-node") spec.firstNode = static_cast<int>(line.numberAt(1));
         if (word == "idle") spec.operatorSettings.idleBeforeScaleIn = Time(line.numberAt(1));
         if (word == "state-limits") {
             spec.stateRequests = line.numberAt(1);
@@ -253,6 +255,8 @@
             simulation.rejectStateRequests(index(3), duration(5));
         } else if (word == "cut") {
             simulation.cutLink(line.at(3), line.at(4), duration(6), line.has("hold"));
+        } else if (word == "cut-after-response") {
+            simulation.cutAfterResponse(machine(3), index(4), duration(6));
         } else if (word == "cut-workers") {
             for (int i = 0; i < 60; ++i) {
                 simulation.cutLink("node-" + line.at(3), fmt::format("m-{:06}", i), duration(5),
@@ -274,6 +278,8 @@
             simulation.repeatRequests(line.numberAt(3), duration(4));
         } else if (word == "late-writes") {
             simulation.delayWrites(line.numberAt(3), duration(5));
+        } else if (word == "late-machine-record") {
+            simulation.delayMachineRecord(machine(3), index(4), duration(6));
         } else if (word == "poll-storm") {
             simulation.pollStorm(line.numberAt(3), duration(5));
         } else if (word == "slow-state") {
--- a/tests/sim/simulation.h
+++ b/tests/sim/simulation.h
@@ -94,7 +94,9 @@
     // Nodes behave as the version in production until they are upgraded: they write no record that
     // announces the new version, so that no node uses its formats, and ignore announced limits.
     bool oldVersion = false;
-    bool stateChecksText = false;            // the state service refuses text that is not UTF-8
+    bool stateChecksText = false;  // the state service refuses text that is not UTF-8
+    // The node to which new machines send their first heartbeat; a random one if not set.
+    std::optional<int> firstNode;
     ExternalNodes* externalNodes = nullptr;  // null: the nodes run inside the simulation
 };
 
@@ -140,6 +142,8 @@
     // The cloud's machine lists are empty pages that claim there is more.
     void breakMachineLists(Time length) { listsBrokenUntil_ = now_ + length; }
     void cutLink(const std::string& one, const std::string& other, Time length, bool delayed);
+    // Cuts the link once the machine's worker has accepted a response of the node.
+    void cutAfterResponse(std::size_t machine, int node, Time length);
     void rejectStateRequests(int node, Time length);
     void hangMachine(std::size_t machine, Time length);
     void failMachine(std::size_t machine);
@@ -167,6 +171,9 @@
         writesDelayedUntil_ = now_ + length;
         checker_.faultsUntil(writesDelayedUntil_ + maxWriteDelay);
     }
+    // The node's transactions that write the machine's record get no response and are executed
+    // late, 12 s after `length`.
+    void delayMachineRecord(std::size_t machine, int node, Time length);
     // Requests to the state service and its responses take up to `most` longer.
     void slowStateService(Time most, Time length) {
         maxStateDelay_ = most;
@@ -276,6 +283,10 @@
     // Drops the writes that a node of the version in production would not have made.
     [[nodiscard]] protocol::Json withoutUnsupportedWrites(const std::string& node,
                                                           protocol::Json body) const;
+    // When a transaction of the node is executed that gets no response; none if it is executed and
+    // answered at once.
+    [[nodiscard]] std::optional<Time> lateExecutionTime(const std::string& node,
+                                                        const protocol::Json& body);
     // Sets the limits that the node's version knows: those in force and, in the new version, those
     // announced.
     void setLimits(Node& node) const;
@@ -360,6 +371,8 @@
     Time maxRepeatDelay_{};
     double delayedWriteFraction_ = 0;
     Time writesDelayedUntil_{};
+    // Until when a machine's record is delayed, by the record's key and the writing node.
+    std::map<std::pair<std::string, std::string>, Time> recordsDelayedUntil_;
     double lostFrameFraction_ = 0;
     double duplicatedFrameFraction_ = 0;
     Time maxFrameDelay_{};
--- a/tests/sim/simulation_internal.h
+++ b/tests/sim/simulation_internal.h
@@ -30,6 +30,9 @@
     return {status, protocol::encodeCbor(body), 0};
 }
 
+// The name of the machine that was added as the `index`-th, counted from 0.
+std::string machineId(std::size_t index);
+
 // Parses the query parameters of a request path.
 std::map<std::string, std::string> queryOf(const std::string& path);
 
@@ -155,6 +158,8 @@
     std::vector<std::string> images;
     std::vector<Task> tasks;
     std::optional<Time> answeredAt;
+    // How long the link to a node is cut after its next accepted response.
+    std::map<std::string, Time> cutsAfterResponse;
     // When the machine's record was last transferred to another partition, until a response of that
     // partition is accepted, and the lowest fencing token of its responses.
     std::optional<Time> transferredAt;
--- a/tests/sim/simulation_state_service.cpp
+++ b/tests/sim/simulation_state_service.cpp
@@ -172,6 +172,25 @@
     return answer(200, {{wire::revision, revision_}});
 }
 
+void Simulation::delayMachineRecord(std::size_t machine, int node, Time length) {
+    recordsDelayedUntil_[{storage::keys::machine(machineId(machine)),
+                          nodes_[static_cast<std::size_t>(node)]->name}] = now_ + length;
+    checker_.faultsUntil(now_ + length + maxWriteDelay);
+}
+
+std::optional<Time> Simulation::lateExecutionTime(const std::string& node, const Json& body) {
+    for (const auto& write : protocol::listOf(body, wire::writes)) {
+        const auto delayed = recordsDelayedUntil_.find({protocol::textOf(write, wire::put), node});
+        if (delayed != recordsDelayedUntil_.end() && now_ < delayed->second)
+            return delayed->second + maxWriteDelay;
+    }
+    if (now_ >= writesDelayedUntil_ ||
+        std::uniform_real_distribution<>(0, 1)(rng_) >= delayedWriteFraction_)
+        return std::nullopt;
+    return now_ + Time(std::uniform_real_distribution<>(minWriteDelay.count(),
+                                                        maxWriteDelay.count())(rng_));
+}
+
 void Simulation::serveState(const std::string& from, const HttpRequest& request,
                             const HttpReply& reply) {
     expireLeases();
@@ -201,12 +220,9 @@
         return reply(answer(400));
     if (path == wire::pathTransaction) {
         body = withoutUnsupportedWrites(from, std::move(*body));
-        if (now_ >= writesDelayedUntil_ ||
-            std::uniform_real_distribution<>(0, 1)(rng_) >= delayedWriteFraction_)
-            return reply(stateTransaction(*body));
-        const Time later(
-            std::uniform_real_distribution<>(minWriteDelay.count(), maxWriteDelay.count())(rng_));
-        at(std::max(now_ + later, stateOutageUntil_), [this, body = *body] {
+        const auto executionTime = lateExecutionTime(from, *body);
+        if (!executionTime) return reply(stateTransaction(*body));
+        at(std::max(*executionTime, stateOutageUntil_), [this, body = *body] {
             expireLeases();
             stateTransaction(body);
         });
--- a/tests/sim/simulation_workers.cpp
+++ b/tests/sim/simulation_workers.cpp
@@ -14,21 +14,26 @@
 
 }  // namespace
 
+std::string machineId(std::size_t index) {
+    const auto number = std::to_string(index);
+    return "m-" + std::string(6 - number.size(), '0') + number;
+}
+
 Simulation::Worker* Simulation::worker(const std::string& id) {
     const auto found = workers_.find(id);
     return found == workers_.end() ? nullptr : found->second.get();
 }
 
 void Simulation::addMachine(const std::string& type, const std::string& zone, bool spot) {
-    auto name = std::to_string(nextMachine_++);
-    name = "m-" + std::string(6 - name.size(), '0') + name;
+    const auto name = machineId(static_cast<std::size_t>(nextMachine_++));
     auto w = std::make_unique<Worker>();
     w->id = name;
     w->type = type;
     w->zone = zone;
     w->spot = spot;
     w->provisionedAt = now_;
-    w->node = randomNode();
+    const int randomFirstNode = randomNode();
+    w->node = spec_.firstNode.value_or(randomFirstNode);
     const auto found = std::find_if(spec_.types.begin(), spec_.types.end(),
                                     [&](const auto& t) { return t.type.name == type; });
     const Time boot = now_ > Time(0)
@@ -162,6 +167,8 @@
 void Simulation::recordAnswered(Worker& w, const std::string& node, std::uint64_t fencingToken) {
     checker_.responseAccepted(w.id, node, fencingToken);
     const auto before = std::exchange(w.answeredAt, now_);
+    if (const auto cut = w.cutsAfterResponse.extract(node))
+        cutLink(node, w.id, cut.mapped(), false);
     if (!w.transferredAt || fencingToken < w.transferredFloor) return;
     const Time took = now_ - *w.transferredAt;
     ++transferStats_.responses;
@@ -355,6 +362,11 @@
     }
 }
 
+void Simulation::cutAfterResponse(std::size_t machine, int node, Time length) {
+    const auto& name = nodes_[static_cast<std::size_t>(node)]->name;
+    nth(workers_, machine).cutsAfterResponse[name] = length;
+}
+
 void Simulation::hangMachine(std::size_t machine, Time length) {
     nth(workers_, machine).hangsUntil = now_ + length;
     checker_.faultsUntil(now_ + length);
