A machine without a record is released only once its decommissioned mark is durable

Cause: MachineReconciler released a machine without a record at once, because it never had tasks.

Change: such a machine is decommissioned like any other (reason unused). The write of the mark fails if another leader has recorded the machine, and without the mark no release is sent. As the mark may now conflict with the record of another partition, that record's own mark is kept.

--- a/src/coordination/provisioning/decommissioner.cpp
+++ b/src/coordination/provisioning/decommissioner.cpp
@@ -25,9 +25,11 @@
         case DecommissionReason::consolidated:
             return "consolidated";
         case DecommissionReason::idle:
+            return "idle";
+        case DecommissionReason::unused:
             break;
     }
-    return "idle";
+    return "unused";
 }
 
 }  // namespace
--- a/src/coordination/provisioning/decommissioner.h
+++ b/src/coordination/provisioning/decommissioner.h
@@ -16,6 +16,7 @@
     unreachable,   ///< it sends heartbeats but acknowledges nothing
     consolidated,  ///< consolidation has drained it
     idle,          ///< it was idle for longer than its idle limit
+    unused,        ///< it has no record, and acknowledges nothing or is of no use to any job
 };
 
 /// Marks a machine as decommissioned in its record, then asks the cloud to release it, then deletes
--- a/src/coordination/provisioning/machine_reconciler.cpp
+++ b/src/coordination/provisioning/machine_reconciler.cpp
@@ -52,11 +52,10 @@
     if (machine.acknowledged() && isUsableByAnyJob(*context_.clusterState.lock(), machine, type)) {
         records_.write(Change::record, partition, machine.id);
     } else if (neverAcknowledged || now - machine.idleSince > warmPool_.idleLimit(machine, type)) {
-        // The machine never had tasks, and no allocation can refer to it, so it is released without
-        // a record.
-        spdlog::debug("inventory: unrecorded_machine_decommissioned machine={} reason=unused",
-                      machine.id);
-        machine.decommissioned = true;
+        // Another leader may have recorded the machine and may run tasks on it. Its record makes
+        // the write of the decommissioned mark fail, without which no release is sent (scenario
+        // unrecorded_machine_used_by_another_leader).
+        decommissioner_.decommission(machine, DecommissionReason::unused);
     }
 }
 
--- a/src/coordination/provisioning/machine_records.cpp
+++ b/src/coordination/provisioning/machine_records.cpp
@@ -66,7 +66,7 @@
         batches.pending.erase(id);
         auto clusterState = context_.clusterState.lock();
         Machine* machine = clusterState->machine(id);
-        if (machine != nullptr) applyOutcome(change, *machine, result, revision);
+        if (machine != nullptr) applyOutcome(change, partition, *machine, result, revision);
     }
     roundScheduler_.scheduleRound();
     writeBatch(change, partition);
@@ -80,8 +80,8 @@
     return storage::machineValue(decommissioned);
 }
 
-void MachineRecords::applyOutcome(Change change, Machine& machine, CommitResult result,
-                                  std::uint64_t revision) {
+void MachineRecords::applyOutcome(Change change, PartitionId partition, Machine& machine,
+                                  CommitResult result, std::uint64_t revision) {
     const bool committed = result == CommitResult::committed;
     switch (change) {
         case Change::record:
@@ -94,6 +94,8 @@
             }
             break;
         case Change::decommission:
+            // After a conflict, the record of a machine in another partition has been read again.
+            if (machine.partition != partition) break;
             // Set the mark even if the state was reloaded meanwhile from records older than this
             // transaction.
             machine.decommissioned = committed;
--- a/src/coordination/provisioning/machine_records.h
+++ b/src/coordination/provisioning/machine_records.h
@@ -52,7 +52,8 @@
     // None if the record is to be deleted.
     [[nodiscard]] static std::optional<protocol::Json> valueOf(Change change,
                                                                const Machine& machine);
-    void applyOutcome(Change change, Machine& machine, CommitResult result, std::uint64_t revision);
+    void applyOutcome(Change change, PartitionId partition, Machine& machine, CommitResult result,
+                      std::uint64_t revision);
 
     Context& context_;
     TransactionPipeline& pipeline_;
