The lease of a machine that was given away and has come back is counted anew

Found by reading all that counts on nobody else renewing a lease.

Cause: what was observed of a machine was reset when its record named another partition than before. Two transfers, away and back, may be read as one change: while a transaction of this node on the record has no outcome, only the latest event is kept, and a reading of all records shows only the last value. Then the partition is the same, and the lease stayed counted from this node's last answer although the other leader had renewed it since.

Change: the reset also follows a higher minimum fencing token in the record, which each transfer raises.

Test: RecordsTest.LeaseOfAMachineThatHasComeBackIsCountedAnew failed before. It replays records; the whole sequence was not brought about in a scenario.

--- a/src/storage/record_replay.cpp
+++ b/src/storage/record_replay.cpp
@@ -61,8 +61,15 @@
     slice.version = event.version;
 }
 
+/// Whether the machine has belonged to another partition since `known` was read, perhaps in between
+/// only: the events of several transfers may be read as one. Each transfer raises the minimum
+/// fencing token.
+bool wasTransferred(const Machine& known, const MachineRecord& record) {
+    return known.partition != record.partition || record.minFencingToken > known.minFencingToken;
+}
+
 /// Resets observations and decisions made while the machine belonged to its former partition.
-void resetAfterPartitionChange(Machine& machine, SteadyTime now) {
+void resetAfterTransfer(Machine& machine, SteadyTime now) {
     machine.reservedUntil = {};
     machine.unschedulableUntil = {};
     machine.consolidating = false;
@@ -90,12 +97,12 @@
 void applyMachineRecord(ClusterState& clusterState, MachineRecord record, SteadyTime now) {
     const Machine* known = clusterState.machine(record.id);
     const bool isNew = known == nullptr;
-    const bool partitionChanged = !isNew && known->partition != record.partition;
+    const bool transferred = !isNew && wasTransferred(*known, record);
     Machine& machine = clusterState.addMachine(record.id, record.partition);
     machine.setRecord(std::move(record));
     if (isNew) machine.knownSince = machine.lastPossibleRenewal = machine.idleSince = now;
-    if (partitionChanged) {
-        resetAfterPartitionChange(machine, now);
+    if (transferred) {
+        resetAfterTransfer(machine, now);
         resetFencingTokens(machine, now);
         clusterState.resetTaskStates(machine);
     }
--- a/tests/unit/storage/records_test.cpp
+++ b/tests/unit/storage/records_test.cpp
@@ -294,5 +294,28 @@
     EXPECT_EQ(clusterState.job(job.spec.id)->version, 5U);
 }
 
+// A leader that read only the last of two transfers of a machine, away and back, counted the
+// worker's lease from before the first one, although the other leader had renewed it since.
+TEST_F(RecordsTest, LeaseOfAMachineThatHasComeBackIsCountedAnew) {
+    Machine machine;
+    machine.type = "small";
+    machine.zone = "a";
+    machine.partition = 1;
+    const SteadyTime firstRead{std::chrono::seconds(100)};
+    applyEvent(clusterState, {keys::machine("m-1"), machineValue(machine), 5}, firstRead);
+    machine.minFencingToken = 512;
+    machine.transferredBy = "node-2";
+    const SteadyTime cameBack{std::chrono::seconds(200)};
+    applyEvent(clusterState, {keys::machine("m-1"), machineValue(machine), 9}, cameBack);
+    const auto* known = clusterState.machine("m-1");
+    EXPECT_EQ(known->lastPossibleRenewal, cameBack);
+    EXPECT_FALSE(known->acknowledged());
+    // A write that is no transfer leaves the count as it is.
+    machine.decommissioned = true;
+    applyEvent(clusterState, {keys::machine("m-1"), machineValue(machine), 11},
+               SteadyTime{std::chrono::seconds(300)});
+    EXPECT_EQ(known->lastPossibleRenewal, cameBack);
+}
+
 }  // namespace
 }  // namespace fawnwheel::storage
