A transferred machine's silence counts only once its giver can't renew the lease

Found by reading all that counts on nobody else renewing a lease. Nobody saw it: by the code a task could run twice after an outage, with transfers of machines on.

Cause: WorkerExpiry::isTransferConfirmed took a giver without a node record to be out of action. A leader that the state service refuses keeps answering its workers in an outage for all, until a peer has acquired its partition, whether its node record still exists or not. A giver that does not know the outcome of its transfer then renews the lease of the machine that it has given away, while the recipient counts from before the outage.

Change: a giver without a node record counts as out of action once no partition's record names it. The acquisition by another node ends its renewals.

The whole sequence was not brought about in a scenario.

--- a/src/coordination/workers/worker_expiry.cpp
+++ b/src/coordination/workers/worker_expiry.cpp
@@ -44,9 +44,12 @@
     // outcome of its own transaction, even during an outage of the state service. If the lease were
     // counted from the time at which this node saw the transfer, it would seem to expire during
     // such an outage although it is still renewed.
-    return machine.transferredBy.empty() || machine.transferredBy == context_.settings.name ||
-           !clusterState.nodes.contains(machine.transferredBy) ||
-           membership_.appliedRevisionOf(machine.transferredBy) >= machine.version;
+    const auto& giver = machine.transferredBy;
+    if (giver.empty() || giver == context_.settings.name) return true;
+    // A giver whose node record is gone still renews leases in an outage until another node has
+    // acquired its partitions (see `PartitionLeadership::canAnswerWorkers`).
+    if (!clusterState.nodes.contains(giver) && !clusterState.leadsAnyPartition(giver)) return true;
+    return membership_.appliedRevisionOf(giver) >= machine.version;
 }
 
 void WorkerExpiry::expireSilentWorkers(PartitionId partition) {
--- a/src/coordination/workers/worker_expiry.h
+++ b/src/coordination/workers/worker_expiry.h
@@ -26,8 +26,8 @@
     void releaseAllocations(Machine& machine, std::string_view reason);
 
   private:
-    /// Whether the node that transferred the machine with its tasks to this one knows that the
-    /// transfer succeeded, and so no longer renews the worker's lease.
+    /// Whether the node that transferred the machine with its tasks to this one no longer renews
+    /// the worker's lease: it knows that the transfer succeeded, or it leads nothing any more.
     [[nodiscard]] bool isTransferConfirmed(const ClusterState& clusterState,
                                            const Machine& machine) const;
     static void releaseAllocationsWithoutMachine(ClusterState& clusterState, PartitionId partition);
--- a/src/storage/cluster_state.cpp
+++ b/src/storage/cluster_state.cpp
@@ -44,6 +44,11 @@
     return found == machines.end() ? nullptr : &found->second;
 }
 
+bool ClusterState::leadsAnyPartition(const std::string& node) const {
+    return std::any_of(partitions.begin(), partitions.end(),
+                       [&node](const auto& entry) { return entry.second.leader == node; });
+}
+
 const std::vector<Machine*>& ClusterState::machinesOf(PartitionId partition) const {
     static const std::vector<Machine*> none;
     const auto found = machinesByPartition_.find(partition);
--- a/src/storage/cluster_state.h
+++ b/src/storage/cluster_state.h
@@ -117,6 +117,9 @@
         return job.cancelled || job.knownCancelled || cancellations.contains(job.spec.id);
     }
 
+    /// Whether the record of any partition names the node as its leader.
+    [[nodiscard]] bool leadsAnyPartition(const std::string& node) const;
+
     /// The partition's machines, in the order in which they were added to it.
     [[nodiscard]] const std::vector<Machine*>& machinesOf(PartitionId partition) const;
     /// Adds the machine, or moves it to the partition if the machine exists.
--- a/tests/unit/coordination/migration/machine_transfers_test.cpp
+++ b/tests/unit/coordination/migration/machine_transfers_test.cpp
@@ -4,6 +4,7 @@
 
 #include "coordination/membership/membership_fixture.h"
 #include "coordination/scheduling/quota_exchange.h"
+#include "coordination/workers/worker_lease.h"
 
 namespace fawnwheel::coordination {
 namespace {
@@ -444,6 +445,36 @@
     EXPECT_TRUE(clusterState->corruptMachines.empty());
 }
 
+// The recipient counted a worker's silence from the loss of the giver's node record, although a
+// giver that does not know the outcome renews the lease in an outage until it has a successor.
+TEST_F(TransferBench, SilenceCountsOnlyOnceAGiverWithoutNodeRecordHasASuccessor) {
+    putArray();
+    Machine received;
+    received.id = "m-1";
+    received.type = "large";
+    received.zone = "a";
+    received.partition = 0;
+    received.transferredBy = "node-2";
+    state.put(machine("m-1"), storage::machineValue(received));
+    loadWithHeartbeats();
+    const auto tasksOnReceivedMachine = [this] {
+        return context.clusterState.lock()->machine("m-1")->allocations.size();
+    };
+    ASSERT_EQ(tasksOnReceivedMachine(), 3U);
+    const auto maxLease = maxWorkerLease(context) + outageConfirmationValidity + 1s;
+    heartbeats.expireSilentWorkers(0);
+    timers.advance(maxLease);
+    heartbeats.expireSilentWorkers(0);  // node-2 still leads partition 2 by its record
+    EXPECT_EQ(tasksOnReceivedMachine(), 3U);
+    putPartition(2, "node-1", 7);
+    loadRecords();
+    heartbeats.expireSilentWorkers(0);
+    EXPECT_EQ(tasksOnReceivedMachine(), 3U);
+    timers.advance(maxLease);
+    heartbeats.expireSilentWorkers(0);
+    EXPECT_EQ(tasksOnReceivedMachine(), 0U);
+}
+
 TEST_F(TransferBench, LendingRecordsTheLender) {
     loadWithHeartbeats();
     transfers.lend(0, 2, {"m-1"});
