Simulation: a gang is not done while one of its machines hangs

Cause: the stand-in ended the tasks of a gang as done on all machines that did not hang, and left the one on a hanging machine running. The protocol says that the tasks of a gang complete together, and that a hanging machine does not execute its tasks.

Change: a gang is finished only while none of its machines hangs.

--- a/tests/sim/simulation_workers.cpp
+++ b/tests/sim/simulation_workers.cpp
@@ -338,10 +338,12 @@
         const auto running = inState(wire::stateRunning);
         const auto waiting = inState(wire::stateWaiting);
         const bool whole = members.size() == simulatedJob.spec.tasks;
-        const bool finished = whole && running == members.size() &&
-                              std::all_of(members.begin(), members.end(), [&](const auto& m) {
-                                  return m.second->progress >= simulatedJob.runs;
-                              });
+        // The tasks of a gang complete together, and a hanging machine does not execute its task.
+        const bool finished =
+            whole && running == members.size() &&
+            std::all_of(members.begin(), members.end(), [&](const auto& m) {
+                return m.second->progress >= simulatedJob.runs && m.first->hangsUntil <= now_;
+            });
         for (auto& [w, task] : members) {
             if (w->hangsUntil > now_) continue;
             if (finished) {
