--- a/tests/sim/scenario_actions.cpp
+++ b/tests/sim/scenario_actions.cpp
@@ -1,7 +1,5 @@
 #include "sim/scenario_actions.h"
 
-#include <spdlog/fmt/fmt.h>
-
 #include <map>
 
 namespace fawnwheel::sim {
@@ -10,7 +8,7 @@
 
 using Action = void (*)(Simulation&, const ScenarioLine&);
 
-constexpr int maxCutMachines = 60;  // cut off by `cut-workers`
+constexpr std::size_t maxCutMachines = 60;  // cut off by `cut-workers`
 
 Time timeAt(const ScenarioLine& line, std::size_t index) {
     return Time(line.numberAt(index));
@@ -93,10 +91,9 @@
 }
 
 void cutWorkers(Simulation& simulation, const ScenarioLine& line) {
-    for (int i = 0; i < maxCutMachines; ++i) {
-        simulation.cutLink("node-" + line.at(3), fmt::format("m-{:06}", i), timeAt(line, 5),
+    for (std::size_t machine = 0; machine < maxCutMachines; ++machine)
+        simulation.cutLink("node-" + line.at(3), machineId(machine), timeAt(line, 5),
                            line.has("hold"));
-    }
 }
 
 void killInTurn(Simulation& simulation, const ScenarioLine& line) {
--- a/tests/sim/simulation.h
+++ b/tests/sim/simulation.h
@@ -26,6 +26,9 @@
     std::size_t writes = 12;
 };
 
+// The name of the machine that was added as the `index`-th, counted from 0.
+std::string machineId(std::size_t index);
+
 // Time spent in the controllers' code, summed over all nodes.
 struct Cost {
     using Time = std::chrono::steady_clock::duration;
--- a/tests/sim/simulation_internal.h
+++ b/tests/sim/simulation_internal.h
@@ -30,9 +30,6 @@
     return {status, protocol::encodeCbor(body), 0};
 }
 
-// The name of the machine that was added as the `index`-th, counted from 0.
-std::string machineId(std::size_t index);
-
 // Parses the query parameters of a request path.
 std::map<std::string, std::string> queryOf(const std::string& path);
 
