A received machine's lease is counted from the check that finds its transfer confirmed

Nobody saw it: by the code a task could run twice after an outage, with transfers of machines on.

Cause: the recipient counted the worker's silence from its last check that had found the transfer unconfirmed. It checks nothing while it has no lease. In an outage the giver may renew the worker's lease to the end, and be known not to renew it any more before the recipient's next check; the count then began before the outage.

Change: the recipient remembers whether the transfer is confirmed, and counts from the check that first finds it so.

Test: TransferBench.SilenceCountsFromTheCheckThatFindsTheTransferConfirmed failed before (3 tasks released at once). The whole sequence was not brought about in a scenario.

--- a/src/coordination/workers/worker_expiry.cpp
+++ b/src/coordination/workers/worker_expiry.cpp
@@ -45,24 +45,33 @@
     // counted from the time at which this node saw the transfer, it would seem to expire during
     // such an outage although it is still renewed.
     const auto& giver = machine.transferredBy;
-    if (giver.empty() || giver == context_.settings.name) return true;
     // A giver whose node record is gone still renews leases in an outage until another node has
     // acquired its partitions (see `PartitionLeadership::canAnswerWorkers`).
     if (!clusterState.nodes.contains(giver) && !clusterState.leadsAnyPartition(giver)) return true;
     return membership_.appliedRevisionOf(giver) >= machine.version;
 }
 
+void WorkerExpiry::awaitTransferConfirmation(const ClusterState& clusterState,
+                                             Machine& machine) const {
+    if (machine.transferConfirmed || machine.transferredBy.empty() ||
+        machine.transferredBy == context_.settings.name)
+        return;
+    // Nothing is checked while this node has no lease, so the former leader may have renewed the
+    // worker's lease until just before the check that finds the transfer confirmed.
+    machine.lastPossibleRenewal = context_.now() + outageConfirmationValidity;
+    machine.transferConfirmed = isTransferConfirmed(clusterState, machine);
+}
+
 void WorkerExpiry::expireSilentWorkers(PartitionId partition) {
     const auto now = context_.now();
     const auto maxLease = maxWorkerLease(context_);
     auto clusterState = context_.clusterState.lock();
     for (auto* machine : clusterState->machinesOf(partition)) {
+        if (machine->allocations.empty()) continue;
+        awaitTransferConfirmation(*clusterState, *machine);
         // `lastPossibleRenewal` is the last time at which an entitled leader could have renewed the
         // lease.
-        if (!machine->allocations.empty() && !isTransferConfirmed(*clusterState, *machine))
-            machine->lastPossibleRenewal = now + outageConfirmationValidity;
-        if (machine->allocations.empty() || now - machine->lastPossibleRenewal <= maxLease)
-            continue;
+        if (now - machine->lastPossibleRenewal <= maxLease) continue;
         releaseAllocations(*machine, "lease expired");
         machine->expiredAgentEpoch = machine->agentEpoch;
     }
--- a/src/coordination/workers/worker_expiry.h
+++ b/src/coordination/workers/worker_expiry.h
@@ -30,6 +30,9 @@
     /// the worker's lease: it knows that the transfer succeeded, or it leads nothing any more.
     [[nodiscard]] bool isTransferConfirmed(const ClusterState& clusterState,
                                            const Machine& machine) const;
+    /// Counts the lease of a machine that another node has transferred here from the first check
+    /// that finds the transfer confirmed.
+    void awaitTransferConfirmation(const ClusterState& clusterState, Machine& machine) const;
     static void releaseAllocationsWithoutMachine(ClusterState& clusterState, PartitionId partition);
 
     Context& context_;
--- a/src/storage/machine.h
+++ b/src/storage/machine.h
@@ -85,6 +85,8 @@
     /// The partition that the machine's record already names while this process's own transaction
     /// on the record has no outcome yet.
     std::optional<std::uint32_t> departedTo;
+    /// Whether the node that transferred the machine here is known not to renew its lease any more.
+    bool transferConfirmed = false;
 
     // Scheduling.
     SteadyTime unschedulableUntil{};  ///< no placement before this time
--- a/src/storage/record_replay.cpp
+++ b/src/storage/record_replay.cpp
@@ -75,6 +75,7 @@
     machine.consolidating = false;
     machine.transferring = false;
     machine.departedTo.reset();
+    machine.transferConfirmed = false;
     machine.interruptionAt.reset();
     machine.ignoreHeartbeatsUntil = {};
     machine.knownSince = machine.lastPossibleRenewal = machine.idleSince = now;
--- a/tests/unit/coordination/migration/machine_transfers_test.cpp
+++ b/tests/unit/coordination/migration/machine_transfers_test.cpp
@@ -70,6 +70,21 @@
         putJob(created);
         putSlice(created, created.slices[0]);
     }
+    // As `loadWithHeartbeats`, with the array and machine m-1 received from another node.
+    void loadWithMachineFrom(const std::string& giver) {
+        putArray();
+        Machine received;
+        received.id = "m-1";
+        received.type = "large";
+        received.zone = "a";
+        received.partition = 0;
+        received.transferredBy = giver;
+        state.put(machine("m-1"), storage::machineValue(received));
+        loadWithHeartbeats();
+    }
+    std::size_t tasksOnReceivedMachine() {
+        return context.clusterState.lock()->machine("m-1")->allocations.size();
+    }
     void putGang(std::uint32_t tasks) {
         Job created = makeJob(tasks, tasks);
         created.spec.kind = protocol::JobKind::gang;
@@ -448,18 +463,7 @@
 // The recipient counted a worker's silence from the loss of the giver's node record, although a
 // giver that does not know the outcome renews the lease in an outage until it has a successor.
 TEST_F(TransferBench, SilenceCountsOnlyOnceAGiverWithoutNodeRecordHasASuccessor) {
-    putArray();
-    Machine received;
-    received.id = "m-1";
-    received.type = "large";
-    received.zone = "a";
-    received.partition = 0;
-    received.transferredBy = "node-2";
-    state.put(machine("m-1"), storage::machineValue(received));
-    loadWithHeartbeats();
-    const auto tasksOnReceivedMachine = [this] {
-        return context.clusterState.lock()->machine("m-1")->allocations.size();
-    };
+    loadWithMachineFrom("node-2");
     ASSERT_EQ(tasksOnReceivedMachine(), 3U);
     const auto maxLease = maxWorkerLease(context) + outageConfirmationValidity + 1s;
     heartbeats.expireSilentWorkers(0);
@@ -475,6 +479,22 @@
     EXPECT_EQ(tasksOnReceivedMachine(), 0U);
 }
 
+// The recipient counted a worker's silence from its last check before an outage, during which it
+// has no lease and checks nothing, although the giver renewed the lease until the outage ended.
+TEST_F(TransferBench, SilenceCountsFromTheCheckThatFindsTheTransferConfirmed) {
+    loadWithMachineFrom("node-2");
+    const auto maxLease = maxWorkerLease(context) + outageConfirmationValidity + 1s;
+    heartbeats.expireSilentWorkers(0);  // node-2 still leads partition 2 by its record
+    timers.advance(maxLease);
+    putPartition(2, "node-1", 7);
+    loadRecords();
+    heartbeats.expireSilentWorkers(0);
+    EXPECT_EQ(tasksOnReceivedMachine(), 3U);
+    timers.advance(maxLease);
+    heartbeats.expireSilentWorkers(0);
+    EXPECT_EQ(tasksOnReceivedMachine(), 0U);
+}
+
 TEST_F(TransferBench, LendingRecordsTheLender) {
     loadWithHeartbeats();
     transfers.lend(0, 2, {"m-1"});
