Review: a late report at the next leader runs a gang's task twice

Cause: the end of an attempt is taken from a report without a token of the leader's term, although a gang's attempt that waited in vain is launched again under the same number.

No code of the project is changed.

--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -686,7 +686,11 @@
         if (record.tether != 0) out["tether"] = record.tether;
         return out;
     };
-    if (path == "/txn") return transaction(body, reply);
+    if (path == "/txn") {
+        const double late = lateTransaction ? lateTransaction(node, body) : 0;
+        if (late <= 0) return transaction(body, reply);
+        return net.after(late, [this, body] { transaction(body, [](int, const std::string&) {}); });
+    }
     if (path == "/follow") {
         const auto since = std::stoull(query["since"]);
         if (changes_.size() == changesKept && since + 1 < changes_.front().ring)
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -140,6 +140,8 @@
     /// Asked when the state service has executed a request: how long its answer takes.
     std::function<double(int node, const net::Request&, const Json& body, int status)>
         stateAnswerDelay;
+    /// Above 0: the transaction gets no answer and is executed so many seconds later.
+    std::function<double(int node, const Json& body)> lateTransaction;
     std::function<double(Worker&, const std::string& job, std::uint32_t index)> pullSeconds;
     std::function<void(Worker&, const Json& report, int node)> onReportSent;
     std::function<void(Worker&, int node)> onReportAnswered;
