Review: the stand-in's watches keep changes from a spell of refusal

Cause: a watch that had waited while its controller was refused was answered with no change once its time was over, so changes from the spell were lost.

Change: such an answer holds the changes; files formatted as the project's.

--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,5 +1,5 @@
-// A gang's task that waited in vain starts again in the same attempt. A late copy of the report that
-// showed the end of its first wait reaches the next leader.
+// A gang's task that waited in vain starts again in the same attempt. A late copy of the report
+// that showed the end of its first wait reaches the next leader.
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -35,7 +35,8 @@
 
     int run() {
         int number = 0;
-        for (int i = 0; i < plainMachines; ++i) w.addMachine("majhaula", "lalitpur", false, ++number);
+        for (int i = 0; i < plainMachines; ++i)
+            w.addMachine("majhaula", "lalitpur", false, ++number);
         for (int i = 0; i < gpuMachines; ++i) w.addMachine("himal", "lalitpur", false, ++number);
         for (int i = 0; i < w.nodeCount(); ++i) w.startNode(i);
         w.pullSeconds = [](world::Worker&, const std::string& job, std::uint32_t index) {
--- a/review/standin-2/net.cpp
+++ b/review/standin-2/net.cpp
@@ -75,8 +75,7 @@
         const std::string address = "127.0.0.1:" + std::to_string(port);
         const sockaddr_in where = parse(address);
         const int fd = newSocket();
-        const bool bound =
-            ::bind(fd, reinterpret_cast<const sockaddr*>(&where), sizeof where) == 0;
+        const bool bound = ::bind(fd, reinterpret_cast<const sockaddr*>(&where), sizeof where) == 0;
         ::close(fd);
         if (bound) return address;
     }
@@ -148,7 +147,8 @@
     const auto headEnd = connection->input.find("\r\n\r\n");
     if (headEnd == std::string::npos) return;
     const std::string head = connection->input.substr(0, headEnd + 2);
-    const auto length = static_cast<std::size_t>(std::atoll(header(head, "content-length").c_str()));
+    const auto length =
+        static_cast<std::size_t>(std::atoll(header(head, "content-length").c_str()));
     if (connection->input.size() < headEnd + 4 + length) return;
     Request request;
     const auto space = head.find(' ');
@@ -176,7 +176,8 @@
     const auto headEnd = connection->input.find("\r\n\r\n");
     if (headEnd == std::string::npos) return;
     const std::string head = connection->input.substr(0, headEnd + 2);
-    const auto length = static_cast<std::size_t>(std::atoll(header(head, "content-length").c_str()));
+    const auto length =
+        static_cast<std::size_t>(std::atoll(header(head, "content-length").c_str()));
     if (connection->input.size() < headEnd + 4 + length) return;
     const int status = std::atoi(head.c_str() + head.find(' ') + 1);
     const std::string body = connection->input.substr(headEnd + 4, length);
--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -1,12 +1,12 @@
 #include "world.h"
 
-#include <csignal>
 #include <fcntl.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <iostream>
@@ -47,11 +47,11 @@
 
 Json jobSpec(const std::string& id, const std::string& gait, int tasks, double cores,
              double memory) {
-    return {{"id", id},         {"herd", "work"},     {"keeper", "crew"},   {"gait", gait},
-            {"rank", "standard"}, {"hooves", tasks},  {"cores", cores},     {"gpus", 0.0},
-            {"mem_gb", memory}, {"coat", "img-01"},   {"image_gb", 1.0},    {"breeds", nullptr},
-            {"meadow", nullptr}, {"together", false}, {"apart", false},     {"strays", false},
-            {"stride_s", 10.0}, {"rest_s", 0.0},      {"cache_s", 0.0},     {"dusk_s", nullptr}};
+    return {{"id", id},           {"herd", "work"},    {"keeper", "crew"}, {"gait", gait},
+            {"rank", "standard"}, {"hooves", tasks},   {"cores", cores},   {"gpus", 0.0},
+            {"mem_gb", memory},   {"coat", "img-01"},  {"image_gb", 1.0},  {"breeds", nullptr},
+            {"meadow", nullptr},  {"together", false}, {"apart", false},   {"strays", false},
+            {"stride_s", 10.0},   {"rest_s", 0.0},     {"cache_s", 0.0},   {"dusk_s", nullptr}};
 }
 
 // Workers.
@@ -112,8 +112,10 @@
         if (task.kept) entry["kept"] = true;
         list.push_back(std::move(entry));
     }
-    return {{"spoke", id},   {"address", address}, {"breed", type.name}, {"meadow", zone},
-            {"strays", spot}, {"run", run},        {"tick", tick},       {"crook", crook},
+    return {{"spoke", id},          {"address", address},
+            {"breed", type.name},   {"meadow", zone},
+            {"strays", spot},       {"run", run},
+            {"tick", tick},         {"crook", crook},
             {"warning_s", nullptr}, {"hooves", std::move(list)}};
 }
 
@@ -220,7 +222,8 @@
         gpus -= other["gpus"].get<double>();
         memory -= other["mem_gb"].get<double>();
     }
-    return spec["cores"].get<double>() <= cores + 1e-6 && spec["gpus"].get<double>() <= gpus + 1e-6 &&
+    return spec["cores"].get<double>() <= cores + 1e-6 &&
+           spec["gpus"].get<double>() <= gpus + 1e-6 &&
            spec["mem_gb"].get<double>() <= memory + 1e-6;
 }
 
@@ -248,9 +251,9 @@
     const std::string image = known->second.spec["coat"];
     double wait = 0;
     if (!images.contains(image))
-        wait = world.pullSeconds ? world.pullSeconds(*this, job, index)
-                                 : known->second.spec["image_gb"].get<double>() /
-                                       type.pullGbPerSecond;
+        wait = world.pullSeconds
+                   ? world.pullSeconds(*this, job, index)
+                   : known->second.spec["image_gb"].get<double>() / type.pullGbPerSecond;
     const auto serial = task.serial;
     tasks.push_back(std::move(task));
     world.net.after(wait, [this, serial] { imageReady(serial); });
@@ -386,7 +389,9 @@
             {"txn_ops", deployment.txnOps}}},
           {"cloud", {{"rps", deployment.cloudRps}, {"list_lag_s", deployment.listLag}}},
           {"machine_limits",
-           {{"core_share", 0.096}, {"mem_mb", deployment.memoryMb}, {"sockets", deployment.sockets}}},
+           {{"core_share", 0.096},
+            {"mem_mb", deployment.memoryMb},
+            {"sockets", deployment.sockets}}},
           {"clock_off_ms", 25.0}}}};
     std::ofstream(node.settings) << settings.dump();
 }
@@ -401,7 +406,8 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (::getppid() != parent) ::_exit(127);
     const char* kept = std::getenv("CONTROLLER_LOGS");
-    const std::string file = kept == nullptr ? logFile : std::string(kept) + "/" + node.name + ".log";
+    const std::string file =
+        kept == nullptr ? logFile : std::string(kept) + "/" + node.name + ".log";
     const int out = ::open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(out, STDERR_FILENO);
     ::execl(daemon_.c_str(), daemon_.c_str(), "--config", node.settings.c_str(), nullptr);
@@ -592,8 +598,9 @@
             continue;
         }
         const auto reply = follow.reply;
+        const Json list = changesFor(follow);  // some may have come while it had to wait
         follows_.erase(follows_.begin() + static_cast<std::ptrdiff_t>(i));
-        reply(200, encode({{"ring", ring_}, {"log", Json::array()}}));
+        reply(200, encode({{"ring", ring_}, {"log", list}}));
     }
     for (const auto& [id, worker] : workers) worker->checkLease();
     net.after(tickSeconds, [this] { tick(); });
@@ -641,19 +648,23 @@
     if (changes_.size() > changesKept) changes_.pop_front();
 }
 
+Json World::changesFor(const Follow& follow) const {
+    Json list = Json::array();
+    for (const auto& entry : changes_) {
+        if (entry.ring <= follow.since || !entry.key.starts_with(follow.prefix)) continue;
+        if (entry.value)
+            list.push_back({{"write", entry.key}, {"value", *entry.value}, {"mark", entry.ring}});
+        else
+            list.push_back({{"drop", entry.key}, {"mark", entry.ring}});
+    }
+    return list;
+}
+
 void World::answerFollows() {
     for (std::size_t i = 0; i < follows_.size();) {
-        auto& follow = follows_[i];
+        const auto& follow = follows_[i];
         Json list = Json::array();
-        if (!stateOut && !refusedNodes.contains(follow.node))
-            for (const auto& entry : changes_)
-                if (entry.ring > follow.since && entry.key.starts_with(follow.prefix)) {
-                    if (entry.value)
-                        list.push_back(
-                            {{"write", entry.key}, {"value", *entry.value}, {"mark", entry.ring}});
-                    else
-                        list.push_back({{"drop", entry.key}, {"mark", entry.ring}});
-                }
+        if (!stateOut && !refusedNodes.contains(follow.node)) list = changesFor(follow);
         if (list.empty()) {
             ++i;
             continue;
@@ -712,7 +723,8 @@
     }
     if (path == "/keys") {
         Json items = Json::array();
-        const auto most = query["most"].empty() ? 1000 : std::min(1000UL, std::stoul(query["most"]));
+        const auto most =
+            query["most"].empty() ? 1000 : std::min(1000UL, std::stoul(query["most"]));
         bool more = false;
         for (auto at = records_.lower_bound(query["starts"]);
              at != records_.end() && at->first.starts_with(query["starts"]); ++at) {
@@ -747,7 +759,8 @@
     Json failed = Json::array();
     for (const auto& guard : guards) {
         const auto found = records_.find(guard["k"].get<std::string>());
-        if ((found == records_.end() ? 0 : found->second.mark) != guard["mark"].get<std::uint64_t>())
+        if ((found == records_.end() ? 0 : found->second.mark) !=
+            guard["mark"].get<std::uint64_t>())
             failed.push_back(guard["k"]);
     }
     if (!failed.empty()) return reply(409, encode({{"failed", failed}, {"ring", ring_}}));
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -43,9 +43,9 @@
 
 struct JobInfo {
     Json spec;
-    double runs = 1;             // run time of each task
-    bool broken = false;         // fails on every machine
-    double cancelToldAt = -1;    // when a user was told that it is cancelled
+    double runs = 1;           // run time of each task
+    bool broken = false;       // fails on every machine
+    double cancelToldAt = -1;  // when a user was told that it is cancelled
 };
 
 struct Task {
@@ -132,8 +132,8 @@
     void get(int node, const std::string& id, net::Done done);
     void cancel(int node, const std::string& id, net::Done done);
     /// Submits until it is accepted, for at most a minute, as a user does.
-    void submitUntilAccepted(int node, const Json& spec, double runs,
-                             std::function<void()> accepted = [] {});
+    void submitUntilAccepted(
+        int node, const Json& spec, double runs, std::function<void()> accepted = [] {});
     std::map<std::string, JobInfo> jobs;
 
     // Hooks of a case.
@@ -201,6 +201,7 @@
                       const net::Reply& reply);
     void transaction(const Json& body, const net::Reply& reply);
     void change(const std::string& key, std::optional<Json> value, std::uint64_t tether);
+    [[nodiscard]] Json changesFor(const Follow& follow) const;
     void answerFollows();
     void expireHolds();
     void serveCloud(const net::Request& request, const net::Reply& reply);
