--- a/review/standin-2/world.cpp
+++ b/review/standin-2/world.cpp
@@ -636,6 +636,7 @@
             change(key, std::nullopt, 0);
         }
         answerFollows();
+        if (onHoldEnded) onHoldEnded(keys);
     }
 }
 
@@ -681,7 +682,7 @@
     if (stateAnswerDelay)
         reply = [this, node, request, body, reply](int status, const std::string& text) {
             const double delay = stateAnswerDelay(node, request, body, status);
-            if (delay <= 0) return reply(status, text);
+            if (delay <= 0) return answerInTime(node, request, reply, status, text);
             net.after(delay, [reply, status, text] { reply(status, text); });
         };
     stateRequest(node, request, body, reply);
@@ -699,7 +700,7 @@
     };
     if (path == "/txn") {
         const double late = lateTransaction ? lateTransaction(node, body) : 0;
-        if (late <= 0) return transaction(body, reply);
+        if (late <= 0) return transactionInTime(node, body, reply);
         return net.after(late, [this, body] { transaction(body, [](int, const std::string&) {}); });
     }
     if (path == "/follow") {
@@ -743,6 +744,17 @@
     reply(200, encode(item(found->first, found->second)));
 }
 
+void World::transactionInTime(int node, const Json& body, const net::Reply& reply) {
+    if (!transactionWaits || !transactionWaits(node, body)) return transaction(body, reply);
+    net.after(0.005, [this, node, body, reply] { transactionInTime(node, body, reply); });
+}
+
+void World::answerInTime(int node, const net::Request& request, const net::Reply& reply, int status,
+                         const std::string& text) {
+    if (!answerWaits || !answerWaits(node, request)) return reply(status, text);
+    net.after(0.005, [=, this] { answerInTime(node, request, reply, status, text); });
+}
+
 void World::transaction(const Json& body, const net::Reply& reply) {
     const Json guards = body.value("guards", Json::array());
     const Json list = body.value("writes", Json::array());
--- a/review/standin-2/world.h
+++ b/review/standin-2/world.h
@@ -140,6 +140,10 @@
     /// Asked when the state service has executed a request: how long its answer takes.
     std::function<double(int node, const net::Request&, const Json& body, int status)>
         stateAnswerDelay;
+    /// As long as it says so, the transaction isn't carried out yet.
+    std::function<bool(int node, const Json& body)> transactionWaits;
+    /// As long as it says so, the answer isn't sent yet.
+    std::function<bool(int node, const net::Request&)> answerWaits;
     /// Above 0: the transaction gets no answer and is executed so many seconds later.
     std::function<double(int node, const Json& body)> lateTransaction;
     std::function<double(Worker&, const std::string& job, std::uint32_t index)> pullSeconds;
@@ -147,6 +151,7 @@
     std::function<void(Worker&, int node)> onReportAnswered;
     std::function<void(Worker&, const Task&)> onTaskOnMachine;
     std::function<void(Worker&, const Task&)> onTaskGone;
+    std::function<void(const std::vector<std::string>& keys)> onHoldEnded;
     std::set<int> refusedNodes;  // get 503 from the state service
     bool stateOut = false;
 
@@ -200,6 +205,9 @@
     void stateRequest(int node, const net::Request& request, const Json& body,
                       const net::Reply& reply);
     void transaction(const Json& body, const net::Reply& reply);
+    void transactionInTime(int node, const Json& body, const net::Reply& reply);
+    void answerInTime(int node, const net::Request& request, const net::Reply& reply, int status,
+                      const std::string& text);
     void change(const std::string& key, std::optional<Json> value, std::uint64_t tether);
     [[nodiscard]] Json changesFor(const Follow& follow) const;
     void answerFollows();
