--- a/review/4/test.cpp
+++ b/review/4/test.cpp
@@ -77,8 +77,8 @@
     }
 
     void submitSmall() {
-        Json spec = world::jobSpec("run-small" + std::to_string(small), "batch", 8, 2, 10);
-        spec["gpus"] = 1.0;
+        Json spec = world::jobSpec("run-small" + std::to_string(small), "batch", 20, 1, 3.2);
+        spec["breeds"] = {"himal"};
         spec["coat"] = "img-small";
         spec["image_gb"] = 1.0;
         w.submitUntilAccepted(small++ % w.nodeCount(), spec, w.uniform(9, 19));
