--- a/review/7/test.cpp
+++ b/review/7/test.cpp
@@ -138,6 +138,7 @@
         w.net.after(0.15, [this] {
             endFill(y);
             endFill(z);
+            endFill(z);
         });
     }
 
@@ -151,11 +152,11 @@
         w.net.after(1.1, [this] { endFill(x); });
         w.net.after(4.3, [this] { w.startNode(z); });
         w.net.after(4.8, [this] {
-            if (ran) return w.finish(0);
             if (late == 0) {
-                w.log("no transaction was late");
+                w.log("spoke-0 didn't begin to move run-j in time");
                 return w.finish(2);
             }
+            if (ran) return w.finish(0);
             begunWait = true;
             w.net.after(patience, [this] {
                 w.violated(
