An exit ends an allocation only if its heartbeat carries a token of this leader

Cause: any accepted heartbeat's exit counted as final. A gang's task that waited in vain is forgotten and started again in the same attempt, so that this exit is not final; a copy of the heartbeat that showed it can reach the next leader, which counts sequence numbers from zero, before a heartbeat of its term.

Exits that are not believed are now logged as heartbeat: exit_not_confirmed, with the heartbeat's token.

Change: what a heartbeat proves is decided once, by its own token; without one of this leader's it ends no allocation (but a task that is done, whose result is kept), adopts no task and proves no fault. Late copies that arrive together no longer count as several answers that a machine did not get. It works because a worker that has seen our token shows it in every later heartbeat, and drops all earlier leaders' commands.

--- a/src/coordination/workers/heartbeat_handler.cpp
+++ b/src/coordination/workers/heartbeat_handler.cpp
@@ -10,7 +10,7 @@
     machineStatus_.apply(*clusterState, *machine, heartbeat);
     std::vector<protocol::Command> commands;
     for (const auto& task : heartbeat.tasks)
-        taskStatus_.apply(*clusterState, *machine, task, commands);
+        taskStatus_.apply(*clusterState, *machine, heartbeat, task, commands);
     startPolicy_.addStarts(*clusterState, *machine, heartbeat, commands);
     machine->lastPossibleRenewal = context_.now();
     return {HeartbeatStatus::ok,
--- a/src/coordination/workers/machine_status_applier.cpp
+++ b/src/coordination/workers/machine_status_applier.cpp
@@ -9,6 +9,13 @@
 
 using protocol::TaskState;
 
+namespace {
+
+// As a multiple of the heartbeat interval. Late copies of heartbeats may arrive all at once.
+constexpr double minResponseSpacing = 0.75;
+
+}  // namespace
+
 void MachineStatusApplier::apply(ClusterState& clusterState, Machine& machine,
                                  const protocol::Heartbeat& heartbeat) {
     recordHeartbeat(machine, heartbeat);
@@ -61,6 +68,11 @@
         machine.unacknowledgedResponses = 0;
         return;
     }
+    const auto spacing = toSteadyDuration(context_.settings.heartbeatInterval * minResponseSpacing);
+    if (machine.unacknowledgedResponses > 0 &&
+        context_.now() - machine.lastUnacknowledgedResponse < spacing)
+        return;
+    machine.lastUnacknowledgedResponse = context_.now();
     if (++machine.unacknowledgedResponses < maxIneffectiveResponses ||
         machine.allocations.empty() || isFenced(machine, heartbeat))
         return;
--- a/src/coordination/workers/task_status_applier.cpp
+++ b/src/coordination/workers/task_status_applier.cpp
@@ -23,13 +23,22 @@
 }  // namespace
 
 void TaskStatusApplier::apply(ClusterState& clusterState, Machine& machine,
+                              const protocol::Heartbeat& heartbeat,
                               const protocol::TaskStatus& task, std::vector<Command>& commands) {
+    const auto evidence =
+        isFenced(machine, heartbeat) ? Evidence::current : Evidence::possiblyOutdated;
     Job* job = clusterState.job(task.job);
     Slice* slice = job == nullptr ? nullptr : job->sliceOf(task.index);
     Allocation* allocation = slice == nullptr ? nullptr : slice->allocationOf(task.index);
     if (allocation == nullptr || slice->partition != machine.partition ||
         allocation->machine != machine.id || allocation->attempt != task.attempt)
-        return applyUnallocated(clusterState, machine, job, slice, task, commands);
+        return applyUnallocated(clusterState, machine, job, slice, task, evidence, commands);
+    if (task.state == TaskState::exited && !provesExit(task, evidence)) {
+        spdlog::debug("heartbeat: exit_not_confirmed task={}/{} machine={} cause={} token={}",
+                      task.job, task.index, machine.id, static_cast<int>(task.cause),
+                      heartbeat.fencingToken);
+        return;
+    }
     allocation->reported = true;
     allocation->state = task.state;
     if (task.state == TaskState::exited) {
@@ -46,16 +55,23 @@
         commands.push_back(makeCommand(CommandKind::start, task));
         return;
     }
-    applyProgress(clusterState, machine, *job, *slice, *allocation, task);
+    applyProgress(clusterState, machine, *job, *slice, *allocation, task, evidence);
     if (clusterState.knownCancelled(*job) || machine.decommissioned)
         commands.push_back(makeCommand(CommandKind::stop, task));
     else if (allocation->stopGrace && task.state != TaskState::saving)
         commands.push_back(makeCommand(CommandKind::stop, task, *allocation->stopGrace));
 }
 
+bool TaskStatusApplier::provesExit(const protocol::TaskStatus& task, Evidence evidence) {
+    // The same attempt can run again after an exit: a gang's task whose wait was extended, or a
+    // task that was started again after its worker's lease had expired. A result is kept, so a task
+    // that is done stays done.
+    return evidence == Evidence::current || task.cause == ExitCause::done;
+}
+
 void TaskStatusApplier::applyUnallocated(ClusterState& clusterState, Machine& machine, Job* job,
                                          Slice* slice, const protocol::TaskStatus& task,
-                                         std::vector<Command>& commands) {
+                                         Evidence evidence, std::vector<Command>& commands) {
     // After the worker has forgotten the task, a repeated start would run it again. This leader
     // sends no such start, because the removal of the allocation is durable.
     if (task.state == TaskState::exited) {
@@ -63,10 +79,9 @@
             commands.push_back(makeCommand(CommandKind::forget, task));
         return;
     }
-    // A late copy of a heartbeat, or a heartbeat sent before this leader's term, may show a task
-    // that has since ended.
+    // An outdated heartbeat may show a task that has since ended.
     const bool cancelled = job != nullptr && clusterState.knownCancelled(*job);
-    if (!isFenced(machine) && !cancelled) return;
+    if (evidence != Evidence::current && !cancelled) return;
     if (isAdoptable(clusterState, machine, job, slice, task))
         adopt(clusterState, machine, *job, *slice, task);
     else
@@ -98,7 +113,7 @@
 
 void TaskStatusApplier::applyProgress(ClusterState& clusterState, Machine& machine, Job& job,
                                       Slice& slice, Allocation& allocation,
-                                      const protocol::TaskStatus& task) {
+                                      const protocol::TaskStatus& task, Evidence evidence) {
     if (task.state != TaskState::fetching) clusterState.addCachedImage(machine, job.spec);
     if (task.state != TaskState::running) return;
     if (!allocation.runningSince) {
@@ -108,7 +123,7 @@
             task.job, task.index, machine.id,
             Seconds(*allocation.runningSince - allocation.createdAt).count());
     }
-    faultAttribution_.onTaskRunning(job, slice, allocation);
+    if (evidence == Evidence::current) faultAttribution_.onTaskRunning(job, slice, allocation);
 }
 
 void TaskStatusApplier::applyExit(ClusterState& clusterState, Machine& machine, Job& job,
--- a/src/coordination/workers/task_status_applier.h
+++ b/src/coordination/workers/task_status_applier.h
@@ -19,14 +19,21 @@
           observer_(observer),
           faultAttribution_(context) {}
 
-    void apply(ClusterState& clusterState, Machine& machine, const protocol::TaskStatus& task,
-               std::vector<protocol::Command>& commands);
+    void apply(ClusterState& clusterState, Machine& machine, const protocol::Heartbeat& heartbeat,
+               const protocol::TaskStatus& task, std::vector<protocol::Command>& commands);
 
   private:
+    /// What a heartbeat proves about the present state of its machine's tasks.
+    enum class Evidence {
+        current,           ///< it carries a fencing token of this leader
+        possiblyOutdated,  ///< it may be a late copy, or may have been sent before this term
+    };
+    /// Whether the status proves that this attempt at the task will not run again.
+    [[nodiscard]] static bool provesExit(const protocol::TaskStatus& task, Evidence evidence);
     /// Handles a task without an allocation on this machine in this attempt. `job` and `slice` are
     /// null if this node does not know them.
     void applyUnallocated(ClusterState& clusterState, Machine& machine, Job* job, Slice* slice,
-                          const protocol::TaskStatus& task,
+                          const protocol::TaskStatus& task, Evidence evidence,
                           std::vector<protocol::Command>& commands);
     /// Whether the running task may get an allocation on its machine: it has none on any machine,
     /// still has to be done, and is not part of a gang.
@@ -36,7 +43,7 @@
     void adopt(ClusterState& clusterState, const Machine& machine, Job& job, Slice& slice,
                const protocol::TaskStatus& task);
     void applyProgress(ClusterState& clusterState, Machine& machine, Job& job, Slice& slice,
-                       Allocation& allocation, const protocol::TaskStatus& task);
+                       Allocation& allocation, const protocol::TaskStatus& task, Evidence evidence);
     void applyExit(ClusterState& clusterState, Machine& machine, Job& job, Slice& slice,
                    const Allocation& allocation, const protocol::TaskStatus& task);
     void applyExitCause(ClusterState& clusterState, Machine& machine, Job& job, Slice& slice,
--- a/src/storage/machine.h
+++ b/src/storage/machine.h
@@ -70,8 +70,10 @@
     std::uint64_t expectedToken = 0;
     std::uint64_t acknowledgedToken = 0;
     SteadyTime unacknowledgedSince{};
-    /// Consecutive answered heartbeats that did not show the expected token.
+    /// Consecutive answered heartbeats that did not show the expected token; those that followed
+    /// one another sooner than a worker's own do count as one.
     int unacknowledgedResponses = 0;
+    SteadyTime lastUnacknowledgedResponse{};  ///< the last one that was counted
 
     // The machine's life cycle in the cloud.
     SteadyTime knownSince{};  ///< when this process first knew of it in this partition
--- a/tests/sim/scenario_actions.cpp
+++ b/tests/sim/scenario_actions.cpp
@@ -221,6 +221,11 @@
          [](Simulation& simulation, const ScenarioLine& line) {
              simulation.repeatRequests(line.numberAt(3), timeAt(line, 4));
          }},
+        {"replay-exits",
+         [](Simulation& simulation, const ScenarioLine& line) {
+             simulation.replayExitsAtNextLeader(Time(line.number("silence")),
+                                                Time(line.number("for")));
+         }},
         {"duplicate-heartbeats",
          [](Simulation& simulation, const ScenarioLine& line) {
              simulation.duplicateHeartbeats(line.numberAt(3), timeAt(line, 4));
--- a/tests/sim/simulation.h
+++ b/tests/sim/simulation.h
@@ -159,6 +159,14 @@
         duplicatedFraction_ = fraction;
         maxDuplicateDelay_ = latest;
     }
+    // Whenever a partition gets a new leader in this time, copies of each machine's earlier
+    // heartbeats that showed an exited task reach every node. The machine's own heartbeats are lost
+    // for `silence` from then on.
+    void replayExitsAtNextLeader(Time silence, Time length) {
+        exitSilence_ = silence;
+        exitsReplayedUntil_ = now_ + length;
+        checker_.faultsUntil(exitsReplayedUntil_ + silence);
+    }
     // This fraction of POST requests to any host is executed a second time, up to `latest` later.
     void repeatRequests(double fraction, Time latest) {
         repeatedFraction_ = fraction;
@@ -311,6 +319,11 @@
     void startWorker(Worker& worker);
     void sendHeartbeat(Worker& worker);
     void scheduleHeartbeat(Worker& worker);
+    // Keeps a heartbeat that shows an exited task, to be replayed to the next leader.
+    static void keepExitHeartbeat(Worker& worker, const transport::HttpRequest& heartbeat);
+    void replayExitHeartbeats(Worker& worker);
+    // Called before a transaction's writes are executed.
+    void observeLeaderChanges(const protocol::Json& writes);
     void executeCommands(Worker& worker, const protocol::Json& commands);
     void stepWorker(Worker& worker);
     void checkWaitingJobs();
@@ -370,6 +383,8 @@
     double lostResponseFraction_ = 0;
     double duplicatedFraction_ = 0;
     Time maxDuplicateDelay_{};
+    Time exitSilence_{};
+    Time exitsReplayedUntil_{};
     double repeatedFraction_ = 0;
     Time maxRepeatDelay_{};
     double delayedWriteFraction_ = 0;
--- a/tests/sim/simulation_internal.h
+++ b/tests/sim/simulation_internal.h
@@ -154,6 +154,8 @@
     bool heartbeatScheduled = false;
     std::vector<std::string> images;
     std::vector<Task> tasks;
+    // The last heartbeat that showed an exited task, by the cause of the exit, with its sequence.
+    std::map<std::string, std::pair<std::uint64_t, HttpRequest>> exitHeartbeats;
     std::optional<Time> answeredAt;
     // How long the link to a node is cut after its next accepted response.
     std::map<std::string, Time> cutsAfterResponse;
--- a/tests/sim/simulation_state_service.cpp
+++ b/tests/sim/simulation_state_service.cpp
@@ -157,6 +157,7 @@
     if (!failed.empty()) return answer(409, {{wire::failed, failed}, {wire::revision, revision_}});
     if (!writes.empty()) ++revision_;
     recordMachineTransfers(writes);
+    observeLeaderChanges(writes);
     for (const auto& write : writes) {
         auto key = protocol::textOf(write, wire::put);
         if (key.empty()) {
--- a/tests/sim/simulation_workers.cpp
+++ b/tests/sim/simulation_workers.cpp
@@ -1,7 +1,9 @@
 // The simulated workers: heartbeats, commands, tasks, gangs, and faults of machines.
 #include <algorithm>
+#include <array>
 
 #include "sim/simulation_internal.h"
+#include "storage/records.h"
 
 namespace fawnwheel::sim {
 
@@ -11,6 +13,8 @@
 constexpr Time heartbeatInterval{3.0};
 constexpr Time minHeartbeatGap{0.5};
 constexpr Time heartbeatTimeout{4.0};
+// After a partition's leader has changed.
+constexpr std::array replayDelays{Time(0.2), Time(0.6), Time(1.5)};
 
 }  // namespace
 
@@ -108,6 +112,7 @@
     const auto agentEpoch = w.agentEpoch;
     const HttpRequest sending{"POST", wire::pathHeartbeat, protocol::encodeCbor(heartbeatBody(w))};
     const auto& node = nodes_[static_cast<std::size_t>(w.node)]->name;
+    keepExitHeartbeat(w, sending);
     if (std::uniform_real_distribution<>(0, 1)(rng_) < duplicatedFraction_)
         at(now_ + maxDuplicateDelay_ * std::uniform_real_distribution<>(0.02, 1)(rng_),
            [this, id = w.id, node, sending] {
@@ -153,6 +158,36 @@
             });
 }
 
+void Simulation::keepExitHeartbeat(Worker& w, const HttpRequest& heartbeat) {
+    for (const auto& task : w.tasks)
+        if (task.state == wire::stateExited) w.exitHeartbeats[task.cause] = {w.sequence, heartbeat};
+}
+
+void Simulation::observeLeaderChanges(const Json& writes) {
+    if (now_ >= exitsReplayedUntil_) return;
+    const auto prefix = storage::keys::partition(0);
+    const auto kind = prefix.substr(0, prefix.rfind('/') + 1);
+    const bool changed = std::any_of(writes.begin(), writes.end(), [&](const Json& write) {
+        return protocol::textOf(write, wire::put).starts_with(kind);
+    });
+    if (!changed) return;
+    for (const auto& entry : workers_) replayExitHeartbeats(*entry.second);
+}
+
+void Simulation::replayExitHeartbeats(Worker& w) {
+    if (w.exitHeartbeats.empty() || w.terminated) return;
+    w.upstreamLostUntil = now_ + exitSilence_;
+    std::map<std::uint64_t, HttpRequest> bySequence;
+    for (const auto& [cause, kept] : w.exitHeartbeats) bySequence.insert(kept);
+    // The new leader accepts heartbeats once it has applied its acquisition.
+    for (const Time delay : replayDelays)
+        for (const auto& [sequence, heartbeat] : bySequence)
+            for (const auto& node : nodes_)
+                at(now_ + delay, [this, id = w.id, name = node->name, heartbeat = heartbeat] {
+                    serve(id, name, heartbeat, [](const HttpResponse&) {});
+                });
+}
+
 void Simulation::recordTransfer(Worker& w, std::uint64_t floor) {
     ++transferStats_.transfers;
     w.transferredAt = now_;
