Records are read anew only when no transaction of the node is under way

Cause: a reading replaced the cluster state while a migration was under way in a partition that the node kept, and dropped its mark. The job's task got a place in the old partition, and the outcome then moved its slice to another: no leader starts or ends such a task.

Change: a reading begins when no transaction is under way, begins again if one was queued meanwhile, and is complete when the watch has reached every revision that the process knows. A migration that still asks peers is given up by a reading; a slice without a record takes no unrecorded allocation to another partition; what a lost partition has not recorded is discarded at once. A task whose slice and machine belong to two partitions is transferred to its machine's partition.

Two tests took for granted that a reading is complete while a transaction has no outcome. ResyncDuringTransactionDoesNotRevertItsOutcome now asks that the node waits, and all that it asked before; DivisionBetweenSnapshotPagesKeepsEachTaskInOneSlice has the division abandoned, so that it still falls between two pages.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -42,6 +42,7 @@
       quotas_(context_, membership_, pipeline_, teamQuotas_, queueOrder_),
       transfers_(context_, pipeline_, stateWriter_.sliceWriter(), quotas_, heartbeats_, *this),
       lending_(context_, membership_, placement_, transfers_),
+      misplacedTasks_(context_, membership_, pipeline_, transfers_),
       rebalancer_(context_, membership_, pipeline_, placement_, transfers_, *this),
       migrator_(context_, membership_, pipeline_, stateWriter_, placement_),
       statusReader_(context_, replica_),
@@ -148,6 +149,7 @@
         // The outcome of the transactions in flight is unknown, so the records have to be read
         // again.
         pipeline_.abandon(partition);
+        context_.clusterState.lock()->discardUnrecordedChanges(partition);
         return replica_.resync();
     }
     context_.clusterState.lock()->discardUnrecordedChanges(partition);
@@ -170,6 +172,7 @@
         if (membership_.isLeaseValid()) heartbeats_.expireSilentWorkers(partition);
         reconciler_.reconcileMachines(partition);
         if (membership_.isLeaseValid()) lending_.returnIdleLoans(partition);
+        misplacedTasks_.transferToMachines(partition);
         if (membership_.isLeaseValid() && warmPool_.mayConsolidate(partition))
             if (const auto machine = consolidation_.consolidateOneMachine(partition))
                 heartbeats_.sendPendingStops(*machine);
--- a/src/coordination/controller.h
+++ b/src/coordination/controller.h
@@ -7,6 +7,7 @@
 #include "coordination/api/http_router.h"
 #include "coordination/membership/worker_reachability.h"
 #include "coordination/migration/machine_lending.h"
+#include "coordination/migration/misplaced_tasks.h"
 #include "coordination/migration/rebalancer.h"
 #include "coordination/migration/work_migrator.h"
 #include "coordination/peer_dispatcher.h"
@@ -101,6 +102,7 @@
     QuotaExchange quotas_;
     MachineTransfers transfers_;
     MachineLending lending_;
+    MisplacedTasks misplacedTasks_;
     Rebalancer rebalancer_;
     WorkMigrator migrator_;
     JobStatusReader statusReader_;
--- a/src/coordination/migration/work_migrator.cpp
+++ b/src/coordination/migration/work_migrator.cpp
@@ -162,6 +162,7 @@
     next.tasks = wholeJob ? job.spec.tasks : next.range.count;
     choosePeers(next, job);
     if (next.remainingPartitions.empty()) return;
+    next.generation = context_.clusterState.lock()->generation;
     setMigrating(next, true);
     const auto requestId = nextRequestId_++;
     pending_[requestId] = std::move(next);
@@ -206,7 +207,8 @@
 void WorkMigrator::setMigrating(const Migration& migration, bool migrating) {
     auto clusterState = context_.clusterState.lock();
     Job* job = clusterState->job(migration.job);
-    if (job == nullptr) return;
+    // Reading the records anew has dropped the mark; a later migration may have set it again.
+    if (job == nullptr || clusterState->generation != migration.generation) return;
     for (auto& slice : job->slices) {
         if (!migration.wholeJob && slice.index != migration.slice) continue;
         slice.migrating.reset();
@@ -292,7 +294,9 @@
     const auto target = found.requestedPartition;
     found.requestedPartition = context_.partitionCount();  // no partition is being asked
     const Migration migration = found;
-    if (!membership_.isLeader(migration.partition))
+    // Once the records have been read anew, the work is no longer kept from being placed here.
+    if (!membership_.isLeader(migration.partition) ||
+        context_.clusterState.lock()->generation != migration.generation)
         return finishMigration(requestId, target, false);
     if (migration.wholeJob)
         migrateJob(requestId, migration, target);
--- a/src/coordination/migration/work_migrator.h
+++ b/src/coordination/migration/work_migrator.h
@@ -51,6 +51,7 @@
         std::uint32_t tasks = 0;
         std::vector<std::uint32_t> remainingPartitions;  // in the order of asking
         std::uint32_t requestedPartition = 0;            // partition asked last
+        std::uint64_t generation = 0;  // of the cluster state in which the work is marked
     };
     /// Work that this node has accepted from a peer and not yet received.
     struct AcceptedWork {
--- a/src/coordination/replication/replica.cpp
+++ b/src/coordination/replication/replica.cpp
@@ -12,6 +12,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto retryDelay = 300ms;
+constexpr auto pipelinePollInterval = 20ms;
 // Short, so that watch responses prove often enough that the cluster state is current, even if no
 // record changes.
 constexpr Duration maxWatchDuration = 3s;
@@ -55,8 +56,19 @@
     snapshotItems_.clear();
     deferredEvents_.clear();
     firstPageRevision_ = 0;
+    readSnapshotOncePipelineIdle(++generation_);
+}
+
+void Replica::readSnapshotOncePipelineIdle(std::uint64_t generation) {
+    // A reading replaces the cluster state. If a transaction of this process were in flight
+    // meanwhile, its decision would be lost from the cluster state while it may still be committed:
+    // the next decision would not account for it (scenario migration_during_resync).
+    if (!pipeline_.idle())
+        return afterDelay(pipelinePollInterval, generation,
+                          [this, generation] { readSnapshotOncePipelineIdle(generation); });
+    queuedBeforeSnapshot_ = pipeline_.queuedCount();
     snapshotStarted_ = context_.now();
-    readSnapshotPage({}, ++generation_);
+    readSnapshotPage({}, generation);
 }
 
 void Replica::readSnapshotPage(const std::string& after, std::uint64_t generation) {
@@ -81,6 +93,8 @@
     lastPageRevision_ = answer.revision;
     snapshotItems_.insert(snapshotItems_.end(), answer.items.begin(), answer.items.end());
     if (answer.more) return readSnapshotPage(answer.items.back().key, generation);
+    // A transaction that was queued during the reading may be missing from the pages.
+    if (pipeline_.queuedCount() != queuedBeforeSnapshot_) return startSnapshot();
     installSnapshot();
     watch(generation);
 }
@@ -123,8 +137,10 @@
 
 void Replica::completeSync() {
     // Until the watch reaches the last page's revision, the records are inconsistent: an allocation
-    // may be known whose machine is not.
-    if (synced_ || context_.clusterState.lock()->appliedRevision < lastPageRevision_) return;
+    // may be known whose machine is not. Nor may the cluster state go back behind an outcome that
+    // this process learned during the reading.
+    const auto required = std::max(lastPageRevision_, context_.clusterState.lock()->newestRevision);
+    if (synced_ || context_.clusterState.lock()->appliedRevision < required) return;
     synced_ = everSynced_ = true;
     currentAsOf_ = std::max(currentAsOf_, snapshotStarted_);
     observer_.onReplicaChanged();
--- a/src/coordination/replication/replica.h
+++ b/src/coordination/replication/replica.h
@@ -32,7 +32,8 @@
     Replica& operator=(const Replica&) = delete;
 
     void start() { startSnapshot(); }
-    /// Reads all records again. Called when the cluster state may differ from them.
+    /// Reads all records again. Called when the cluster state may differ from them. The reading
+    /// begins once this process's own transactions have outcomes.
     void resync();
     /// Whether the cluster state holds a complete and consistent set of the active records.
     [[nodiscard]] bool synced() const override { return synced_; }
@@ -48,6 +49,8 @@
     void onKeysReleased(const std::vector<std::string>& keys) override;
 
     void startSnapshot();
+    /// Begins the reading, now or as soon as none of this process's transactions is in flight.
+    void readSnapshotOncePipelineIdle(std::uint64_t generation);
     void readSnapshotPage(const std::string& after, std::uint64_t generation);
     void onSnapshotPage(const std::string& after, std::uint64_t generation,
                         const protocol::ReadResponse& answer);
@@ -72,6 +75,7 @@
     std::uint64_t generation_ = 0;  // of the snapshot; responses for an older one are ignored
     std::uint64_t firstPageRevision_ = 0;
     std::uint64_t lastPageRevision_ = 0;
+    std::uint64_t queuedBeforeSnapshot_ = 0;  // transactions queued before the reading began
     std::vector<protocol::Item> snapshotItems_;
     // The latest event of each key that was in flight when the watch delivered the event. The event
     // may be newer than this process's own write, whose response can arrive after the event.
--- a/src/coordination/replication/transaction_pipeline.cpp
+++ b/src/coordination/replication/transaction_pipeline.cpp
@@ -33,6 +33,11 @@
     return found != queues_.end() && !found->second.empty();
 }
 
+bool TransactionPipeline::idle() const {
+    return std::all_of(queues_.begin(), queues_.end(),
+                       [](const auto& entry) { return entry.second.empty(); });
+}
+
 void TransactionPipeline::abandon(PartitionId partition) {
     const auto abandoned = std::move(queues_[partition]);
     queues_.erase(partition);
--- a/src/coordination/replication/transaction_pipeline.h
+++ b/src/coordination/replication/transaction_pipeline.h
@@ -50,6 +50,10 @@
     void commit(PartitionId partition, protocol::CompareAndSwap transaction, CommitCallback done);
     /// Whether the partition has a transaction without an outcome.
     [[nodiscard]] bool busy(PartitionId partition) const;
+    /// Whether no partition has a transaction without an outcome.
+    [[nodiscard]] bool idle() const;
+    /// Number of transactions queued since the process started.
+    [[nodiscard]] std::uint64_t queuedCount() const { return nextId_ - 1; }
     /// Whether a queued transaction writes this key.
     [[nodiscard]] bool inFlight(const std::string& key) const {
         return inFlightKeys_.contains(key);
--- a/src/storage/cluster_state.cpp
+++ b/src/storage/cluster_state.cpp
@@ -259,10 +259,13 @@
 void ClusterState::discardUnrecordedChanges(PartitionId partition) {
     for (auto& [id, found] : jobs)
         for (auto& slice : found.slices)
-            if (slice.partition == partition && slice.dirty) {
-                auto recorded = std::move(slice.recorded);
-                replaceSlice(found, slice, std::move(recorded));
-            }
+            if (slice.partition == partition) discardUnrecordedChanges(found, slice);
+}
+
+void ClusterState::discardUnrecordedChanges(Job& job, Slice& slice) {
+    if (!slice.dirty) return;
+    auto recorded = std::move(slice.recorded);
+    replaceSlice(job, slice, std::move(recorded));
 }
 
 void ClusterState::divideSlice(Job& job, std::uint32_t index, const std::vector<Slice>& pieces) {
--- a/src/storage/cluster_state.h
+++ b/src/storage/cluster_state.h
@@ -88,6 +88,7 @@
 
     // State of the replication.
     std::uint64_t appliedRevision = 0;  ///< every change up to this revision has been applied
+    std::uint64_t newestRevision = 0;   ///< newest revision of any record that has been applied
     std::uint64_t generation = 0;  ///< number of times the records were cleared to be read again
 
     /// Null if there is no active record of the job.
@@ -153,6 +154,8 @@
     /// made as the partition's leader without recording them are invalid as soon as another node
     /// may have led the partition.
     void discardUnrecordedChanges(PartitionId partition);
+    /// The same for one slice.
+    void discardUnrecordedChanges(Job& job, Slice& slice);
 
     /// Clears the replicated records before they are read again.
     void clearRecords();
--- a/src/storage/record_replay.cpp
+++ b/src/storage/record_replay.cpp
@@ -32,8 +32,13 @@
     known->cancelled = record->cancelled;
     if (known->cancelled) clusterState.recordCancellation(id, event.version);
     known->version = event.version;
-    for (auto& slice : known->slices)
-        if (slice.version == 0) slice.partition = record->partition;
+    for (auto& slice : known->slices) {
+        if (slice.version != 0 || slice.partition == record->partition) continue;
+        // The slice now belongs to another leader. An allocation that its former leader has not
+        // recorded would be on a machine of the wrong partition.
+        clusterState.discardUnrecordedChanges(*known, slice);
+        slice.partition = record->partition;
+    }
 }
 
 void applySlice(ClusterState& clusterState, const std::string& name, const protocol::Event& event) {
@@ -186,6 +191,7 @@
 }
 
 void applyEvent(ClusterState& clusterState, const protocol::Event& event, SteadyTime now) {
+    clusterState.newestRevision = std::max(clusterState.newestRevision, event.version);
     const auto [kind, name] = parseKey(event.key);
     switch (kind) {
         case RecordKind::unknown:
--- a/tests/sim/scenario_actions.cpp
+++ b/tests/sim/scenario_actions.cpp
@@ -111,6 +111,8 @@
         {"chains", submitChains},
         {"cancel",
          [](Simulation& simulation, const ScenarioLine& line) { simulation.cancel(line.at(3)); }},
+        {"complete", [](Simulation& simulation,
+                        const ScenarioLine& line) { simulation.completeJob(line.at(3)); }},
         {"get-status", [](Simulation& simulation,
                           const ScenarioLine& line) { simulation.getStatus(line.at(3)); }},
         {"poll-storm",
@@ -160,6 +162,10 @@
          [](Simulation& simulation, const ScenarioLine& line) {
              simulation.rejectStateRequests(nodeAt(line, 3), timeAt(line, 5));
          }},
+        {"refuse-state-until-lease-ends",
+         [](Simulation& simulation, const ScenarioLine& line) {
+             simulation.rejectUntilLeaseEnds(nodeAt(line, 3));
+         }},
         {"late-writes",
          [](Simulation& simulation, const ScenarioLine& line) {
              simulation.delayWrites(line.numberAt(3), timeAt(line, 5));
@@ -168,6 +174,11 @@
          [](Simulation& simulation, const ScenarioLine& line) {
              simulation.delayMachineRecord(machineAt(line, 3), nodeAt(line, 4), timeAt(line, 6));
          }},
+        {"late-job-record",
+         [](Simulation& simulation, const ScenarioLine& line) {
+             simulation.delayJobRecord(line.at(3), nodeAt(line, 4), Time(line.number("by")),
+                                       Time(line.number("for")));
+         }},
         {"slow-state",
          [](Simulation& simulation, const ScenarioLine& line) {
              simulation.slowStateService(timeAt(line, 3), timeAt(line, 5));
--- a/tests/sim/simulation.h
+++ b/tests/sim/simulation.h
@@ -148,6 +148,8 @@
     // Cuts the link once the machine's worker has accepted a response of the node.
     void cutAfterResponse(std::size_t machine, int node, Time length);
     void rejectStateRequests(int node, Time length);
+    // The state service rejects the node's requests until shortly after its lease has ended.
+    void rejectUntilLeaseEnds(int node);
     void hangMachine(std::size_t machine, Time length);
     void failMachine(std::size_t machine);
     void sendInterruptionNotice(std::size_t machine, Time left);
@@ -174,6 +176,11 @@
     }
     // Writes a record as another version of the controllers might have.
     void putRecord(const std::string& key, const protocol::Json& value);
+    // The record's value; null if there is none.
+    [[nodiscard]] const protocol::Json* record(const std::string& key) const {
+        const auto found = records_.find(key);
+        return found == records_.end() ? nullptr : &found->second.value;
+    }
     // Deletes the record without an event to any watch, to test the audit.
     void loseRecord(const std::string& key) { records_.erase(key); }
     // This fraction of transactions gets no response and is executed 2 to 12 s later.
@@ -185,6 +192,9 @@
     // The node's transactions that write the machine's record get no response and are executed
     // late, 12 s after `length`.
     void delayMachineRecord(std::size_t machine, int node, Time length);
+    // The node's transactions that write the job's record get no response and are executed `late`
+    // later.
+    void delayJobRecord(const std::string& job, int node, Time late, Time length);
     // Requests to the state service and its responses take up to `most` longer.
     void slowStateService(Time most, Time length) {
         maxStateDelay_ = most;
@@ -202,6 +212,8 @@
         cancelAtEndFraction_ = fraction;
         cancelAtEndUntil_ = now_ + length;
     }
+    // The tasks of the job complete.
+    void completeJob(const std::string& job) { simulatedJobs_[job].runs = Time(0); }
     // Users poll `factor` times as often.
     void pollStorm(double factor, Time length) {
         stormFactor_ = factor;
@@ -312,6 +324,8 @@
     void expireWatch(const std::shared_ptr<Watch>& watch);  // at the end of its wait time
     [[nodiscard]] bool stateRejects(const std::string& node) const;
     void expireLeases();
+    // Called when a record has been removed together with its lease.
+    void onLeasedRecordRemoved(const std::string& key);
     void serveCloud(const transport::HttpRequest& request, const transport::HttpReply& reply);
 
     Worker* worker(const std::string& id);
@@ -373,6 +387,7 @@
     Time cloudOutageUntil_{};
     Time listsBrokenUntil_{};
     std::map<std::string, Time> stateRejectedUntil_;
+    std::set<std::string> rejectedUntilLeaseEnds_;  // keys of node records
     struct Cut {
         Time until{};
         bool delayed = false;
@@ -389,8 +404,13 @@
     Time maxRepeatDelay_{};
     double delayedWriteFraction_ = 0;
     Time writesDelayedUntil_{};
-    // Until when a machine's record is delayed, by the record's key and the writing node.
-    std::map<std::pair<std::string, std::string>, Time> recordsDelayedUntil_;
+    // Until when a record's transactions are delayed, and how late they are executed.
+    struct RecordDelay {
+        Time until{};
+        std::optional<Time> late;  // after the transaction; none: `maxWriteDelay` after `until`
+    };
+    // By the record's key and the writing node.
+    std::map<std::pair<std::string, std::string>, RecordDelay> recordDelays_;
     double lostFrameFraction_ = 0;
     double duplicatedFrameFraction_ = 0;
     Time maxFrameDelay_{};
--- a/tests/sim/simulation_state_service.cpp
+++ b/tests/sim/simulation_state_service.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t keptChanges = 10'000;
+constexpr Time maxRejection{60};
+constexpr Time rejectionAfterLease{0.1};
 
 }  // namespace
 
@@ -25,6 +27,21 @@
     checker_.faultsUntil(now_ + length);
 }
 
+void Simulation::rejectUntilLeaseEnds(int node) {
+    const auto name = nodes_[static_cast<std::size_t>(node)]->name;
+    stateRejectedUntil_[name] = now_ + maxRejection;
+    rejectedUntilLeaseEnds_.insert(storage::keys::node(name));
+    checker_.faultsUntil(now_);
+}
+
+void Simulation::onLeasedRecordRemoved(const std::string& key) {
+    if (rejectedUntilLeaseEnds_.erase(key) == 0) return;
+    const auto end = now_ + rejectionAfterLease;
+    stateRejectedUntil_[key.substr(key.rfind('/') + 1)] = end;
+    at(end, [this] { answerWatches(); });
+    checker_.faultsUntil(end);
+}
+
 void Simulation::expireLeases() {
     if (now_ < stateOutageUntil_) return;
     for (auto lease = leases_.begin(); lease != leases_.end();) {
@@ -40,6 +57,7 @@
             ++revision_;
             records_.erase(key);
             recordChange(key, true);
+            onLeasedRecordRemoved(key);
         }
         if (!keys.empty()) answerWatches();
     }
@@ -174,16 +192,23 @@
 }
 
 void Simulation::delayMachineRecord(std::size_t machine, int node, Time length) {
-    recordsDelayedUntil_[{storage::keys::machine(machineId(machine)),
-                          nodes_[static_cast<std::size_t>(node)]->name}] = now_ + length;
+    recordDelays_[{storage::keys::machine(machineId(machine)),
+                   nodes_[static_cast<std::size_t>(node)]->name}] = {now_ + length, std::nullopt};
     checker_.faultsUntil(now_ + length + maxWriteDelay);
 }
 
+void Simulation::delayJobRecord(const std::string& job, int node, Time late, Time length) {
+    recordDelays_[{storage::keys::job(job), nodes_[static_cast<std::size_t>(node)]->name}] = {
+        now_ + length, late};
+    checker_.faultsUntil(now_ + length + late);
+}
+
 std::optional<Time> Simulation::lateExecutionTime(const std::string& node, const Json& body) {
     for (const auto& write : protocol::listOf(body, wire::writes)) {
-        const auto delayed = recordsDelayedUntil_.find({protocol::textOf(write, wire::put), node});
-        if (delayed != recordsDelayedUntil_.end() && now_ < delayed->second)
-            return delayed->second + maxWriteDelay;
+        const auto delayed = recordDelays_.find({protocol::textOf(write, wire::put), node});
+        if (delayed == recordDelays_.end() || now_ >= delayed->second.until) continue;
+        const auto& [until, late] = delayed->second;
+        return late ? now_ + *late : until + maxWriteDelay;
     }
     if (now_ >= writesDelayedUntil_ ||
         std::uniform_real_distribution<>(0, 1)(rng_) >= delayedWriteFraction_)
--- a/tests/unit/coordination/replication/state_writer_test.cpp
+++ b/tests/unit/coordination/replication/state_writer_test.cpp
@@ -115,8 +115,9 @@
 }
 
 // More than some 200 records are read in several pages, which have different revisions. A division
-// that is committed between two pages is visible only in the second page. Applying the division's
-// outcome to that state must not lose tasks or assign a task to two slices.
+// that is committed between two pages is visible only in the second page. No task may be lost or in
+// two slices then. The division was abandoned with its partition, so that nobody waits for its
+// outcome.
 TEST_F(SmallValuesTest, DivisionBetweenSnapshotPagesKeepsEachTaskInOneSlice) {
     putTwoLargeSlices();
     stateWriter.flush(0);
@@ -126,6 +127,7 @@
     const auto before = std::distance(state.records.upper_bound(storage::keys::activePrefix),
                                       state.records.upper_bound(slice("run-1", 0)));
     state.pageSize = static_cast<std::size_t>(before);
+    pipeline.abandon(0);
     replica.resync();
     timers.advance(std::chrono::milliseconds(20));
     ASSERT_EQ(state.pending.size(), 1U);
@@ -147,10 +149,9 @@
     EXPECT_TRUE(allExactlyOnce(slicesPerTaskInRecords("run-1")));
 }
 
-// While a transaction has no outcome, a resync reads the records as they were before the
-// transaction. If the outcome were then applied to that older state, the slice would lack the
-// allocations that the transaction had recorded, and the next write would remove them from the
-// record.
+// If a resync read the records as they were before a transaction without an outcome, the cluster
+// state would lack the allocations that the transaction records, and decisions until its outcome
+// would not account for them. The reading waits for the outcome, and keeps it.
 TEST_F(ReplicationTest, ResyncDuringTransactionDoesNotRevertItsOutcome) {
     Job made = makeJob(4, 4);
     putJob(made);
@@ -166,15 +167,70 @@
     const auto change = state.takeTransaction();
     replica.resync();
     serveAll();
-    ASSERT_TRUE(replica.synced());
+    EXPECT_FALSE(replica.synced());
+    EXPECT_EQ(context.clusterState.lock()->job("run-1")->allocatedTasks(), 1U);
     change.done(state.execute(change.request));
     serveAll();
+    ASSERT_TRUE(replica.synced());
+    EXPECT_EQ(context.clusterState.lock()->job("run-1")->allocatedTasks(), 1U);
     stateWriter.flush(0);
     serveAll();
     EXPECT_EQ(context.clusterState.lock()->job("run-1")->allocatedTasks(), 1U);
     EXPECT_EQ(state.records.at(slice("run-1", 0)).value["claims"].size(), 1U);
 }
 
+// Guards against a reading that takes back a transaction which was queued and committed while the
+// pages were read: the records are read once more.
+TEST_F(ReplicationTest, ResyncKeepsTransactionsThatWereQueuedDuringTheReading) {
+    const Job made = makeJob(4, 4);
+    putJob(made);
+    putSlice(made, made.slices[0]);
+    loadRecords();
+    replica.resync();
+    timers.advance(std::chrono::milliseconds(20));
+    ASSERT_EQ(state.pending.size(), 1U);
+    const auto page = state.pending.front();
+    state.pending.clear();
+    const auto outdated = state.execute(page.request);
+    {
+        auto clusterState = context.clusterState.lock();
+        Job& known = *clusterState->job("run-1");
+        clusterState->addAllocation(known, known.slices[0], makeAllocation(0, "m-1", 7));
+    }
+    stateWriter.flush(0);
+    timers.advance(std::chrono::milliseconds(20));
+    const auto change = state.takeTransaction();
+    change.done(state.execute(change.request));
+    page.done(outdated);
+    EXPECT_FALSE(replica.synced());
+    EXPECT_EQ(context.clusterState.lock()->job("run-1")->allocatedTasks(), 1U);
+    serveAll();
+    EXPECT_TRUE(replica.synced());
+    EXPECT_EQ(context.clusterState.lock()->job("run-1")->allocatedTasks(), 1U);
+}
+
+// Guards against decisions on records that are older than what this process has learned from the
+// answer to a request of its own, as an admission or an acquisition, while it was reading.
+TEST_F(ReplicationTest, ResyncIsCompleteOnlyOnceItHasReachedEveryKnownRevision) {
+    putJob(makeJob(4, 4));
+    loadRecords();
+    replica.resync();
+    timers.advance(std::chrono::milliseconds(20));
+    ASSERT_EQ(state.pending.size(), 1U);
+    const auto page = state.pending.front();
+    state.pending.clear();
+    const auto outdated = state.execute(page.request);
+    putPartition(1, "node-1", 2);
+    const auto& latest = state.records.at(partition(1));
+    storage::applyEvent(*context.clusterState.lock(), {partition(1), latest.value, latest.version},
+                        context.now());
+    page.done(outdated);
+    EXPECT_FALSE(replica.synced());
+    serveAll();
+    EXPECT_TRUE(replica.synced());
+    EXPECT_EQ(context.clusterState.lock()->partitions[1].leader, "node-1");
+}
+
 // The new leader of a migrated slice may record allocations before the migrating leader receives
 // the response to the migration. If the watch events delivered in between were dropped, the
 // leader of the job's partition would see no allocations and could end a cancelled job while its
--- a/tests/unit/storage/records_test.cpp
+++ b/tests/unit/storage/records_test.cpp
@@ -317,5 +317,27 @@
     EXPECT_EQ(known->lastPossibleRenewal, cameBack);
 }
 
+// Guards against an allocation on a machine of another partition: a slice without a record follows
+// its job to another partition. Its former leader's allocation, which is in no record, must not go
+// along.
+TEST_F(RecordsTest, SliceWithoutRecordLeavesUnrecordedAllocationsBehind) {
+    putMachine("m-1", 3);
+    Job job = makeJob(4);
+    put(keys::job("run-1"), jobValue(job), 5);
+    Job& known = *clusterState.job("run-1");
+    Allocation allocation;
+    allocation.task = 2;
+    allocation.machine = "m-1";
+    allocation.attempt = 7;
+    clusterState.addAllocation(known, known.slices[0], allocation);
+    job.partition = 2;
+    put(keys::job("run-1"), jobValue(job), 8);
+    EXPECT_EQ(known.slices[0].partition, 2U);
+    EXPECT_EQ(known.allocatedTasks(), 0U);
+    EXPECT_FALSE(known.slices[0].dirty);
+    EXPECT_TRUE(clusterState.machine("m-1")->allocations.empty());
+    EXPECT_EQ(clusterState.machine("m-1")->used.cpus, 0);
+}
+
 }  // namespace
 }  // namespace fawnwheel::storage
