Answers that the watch has overtaken do not revive deleted records

Cause: the answer to a read was applied after the watch had delivered the job's end. Only a record that is held was compared by its version, so that the ended job was added again; no later event removed it, and its dependents were blocked until all records were read anew.

A new debug line, replica: outdated_answer_ignored, names each such answer.

Change: answers to reads and transactions go through storage::applyAnswer, which ignores an answer about a record that is not held if the watch has reached its revision. It works because the watch delivers every change up to that revision: a record of that age which is not held has been deleted. A newer answer counts at once, and the watch still delivers what follows. The node's own record, acquisitions, hand-overs and the latest term, which were set without a look at their versions, go the same way; a read that was overtaken is repeated.

--- a/src/coordination/api/admission.cpp
+++ b/src/coordination/api/admission.cpp
@@ -176,7 +176,8 @@
             if (response.result != StateResult::ok) return submission->reply(unavailable());
             {
                 auto clusterState = context_.clusterState.lock();
-                storage::applyEvent(*clusterState, {key, value, response.revision}, context_.now());
+                storage::applyAnswer(*clusterState, {key, value, response.revision},
+                                     context_.now());
             }
             submission->reply(ok(
                 protocol::encodeJobState(submission->spec.id, protocol::wire::stateQueued), 201));
@@ -302,8 +303,8 @@
                 if (response.result != StateResult::ok) return reply(unavailable());
                 {
                     auto clusterState = context_.clusterState.lock();
-                    storage::applyEvent(*clusterState, {key, value, response.revision},
-                                        context_.now());
+                    storage::applyAnswer(*clusterState, {key, value, response.revision},
+                                         context_.now());
                 }
                 spdlog::debug("admission: job_cancelled job={}", id);
                 respond(id, JobStatus::cancelled, true, reply);
--- a/src/coordination/api/job_status_reader.cpp
+++ b/src/coordination/api/job_status_reader.cpp
@@ -163,11 +163,13 @@
                                   JobStatus status = JobStatus::undetermined;
                                   {
                                       auto clusterState = context_.clusterState.lock();
-                                      storage::applyEvent(*clusterState,
-                                                          {item.key, item.value, item.version},
-                                                          context_.now());
-                                      if (const Job* job = clusterState->job(statusRequest.id))
-                                          status = statusOf(*job);
+                                      storage::applyAnswer(*clusterState,
+                                                           {item.key, item.value, item.version},
+                                                           context_.now());
+                                      const Job* job = clusterState->job(statusRequest.id);
+                                      // The job ended after this read.
+                                      if (job == nullptr) return retry(statusRequest);
+                                      status = statusOf(*job);
                                   }
                                   statusRequest.callback(status);
                               });
--- a/src/coordination/membership/failover.cpp
+++ b/src/coordination/membership/failover.cpp
@@ -14,6 +14,11 @@
 constexpr auto delayPerRank = 1s;        // between the attempts of nodes of adjacent ranks
 constexpr auto minPreferredUptime = 2s;  // of a preferred leader before it gets its partition back
 
+/// The record of the latest term, once the partition has been acquired.
+protocol::Json termValue(const storage::Partition& acquired) {
+    return {{"term", acquired.term}};
+}
+
 }  // namespace
 
 void Failover::logUpgradeComplete() {
@@ -142,7 +147,7 @@
         {storage::keys::node(newRecord.leader), clusterState.nodes[newRecord.leader]});
     transaction.writes = {
         {storage::keys::partition(partition), storage::partitionValue(newRecord), 0},
-        {storage::keys::term, protocol::Json{{"term", newRecord.term}}, 0}};
+        {storage::keys::term, termValue(newRecord), 0}};
     return transaction;
 }
 
@@ -175,11 +180,12 @@
     spdlog::info("failover: partition_acquired partition={} term={}", partition, newRecord.term);
     {
         auto clusterState = context_.clusterState.lock();
-        auto& record = clusterState->partitions[partition];
-        record = newRecord;
-        record.version = revision;
-        clusterState->lastTerm = newRecord.term;
-        clusterState->termVersion = revision;
+        storage::applyAnswer(
+            *clusterState,
+            {storage::keys::partition(partition), storage::partitionValue(newRecord), revision},
+            context_.now());
+        storage::applyAnswer(*clusterState, {storage::keys::term, termValue(newRecord), revision},
+                             context_.now());
     }
     acquiredTerms_.record(partition, newRecord.term);
     failedAcquisitions_.erase(partition);
@@ -215,10 +221,10 @@
             if (response.result != protocol::StateResult::ok) return;
             spdlog::info("failover: leadership_transferred partition={} to={}", partition,
                          newRecord.leader);
-            auto clusterState = context_.clusterState.lock();
-            auto& record = clusterState->partitions[partition];
-            record = newRecord;
-            record.version = response.revision;
+            storage::applyAnswer(*context_.clusterState.lock(),
+                                 {storage::keys::partition(partition),
+                                  storage::partitionValue(newRecord), response.revision},
+                                 context_.now());
         });
 }
 
--- a/src/coordination/membership/node_lease.cpp
+++ b/src/coordination/membership/node_lease.cpp
@@ -90,7 +90,10 @@
 
 void NodeLease::onNodeRecordWritten(std::uint64_t leaseId, SteadyTime sentAt,
                                     std::uint64_t revision) {
-    context_.clusterState.lock()->nodes[context_.settings.name] = revision;
+    storage::applyAnswer(
+        *context_.clusterState.lock(),
+        {storage::keys::node(context_.settings.name), protocol::Json::object(), revision},
+        context_.now());
     leaseId_ = leaseId;
     joined_ = true;
     validUntil_ = earliestExpiry(sentAt);
@@ -104,13 +107,13 @@
     const auto key = storage::keys::node(context_.settings.name);
     context_.stateClient.read(key, [this, leaseId, sentAt](const protocol::ReadResponse& response) {
         if (response.result != protocol::StateResult::ok) return scheduleLeaseRequest();
-        {
-            auto clusterState = context_.clusterState.lock();
-            if (response.items.empty())
-                clusterState->nodes.erase(context_.settings.name);
-            else
-                clusterState->nodes[context_.settings.name] = response.items.front().version;
+        protocol::Event record{storage::keys::node(context_.settings.name), std::nullopt,
+                               response.revision};
+        if (!response.items.empty()) {
+            record.value = response.items.front().value;
+            record.version = response.items.front().version;
         }
+        storage::applyAnswer(*context_.clusterState.lock(), record, context_.now());
         // Once half of the lease has passed, too little would be left of it: request a new one.
         if (context_.now() - sentAt < toSteadyDuration(context_.operatorSettings.nodeLease / 2))
             writeNodeRecord(leaseId, sentAt);
--- a/src/coordination/migration/machine_transfers.cpp
+++ b/src/coordination/migration/machine_transfers.cpp
@@ -149,8 +149,8 @@
             quotas_.finishTransfer(*clusterState, quota, result, revision);
         if (result == CommitResult::committed)
             for (const auto& record : transfer.records)
-                storage::applyEvent(*clusterState, {record.key, record.value, revision},
-                                    context_.now());
+                storage::applyAnswer(*clusterState, {record.key, record.value, revision},
+                                     context_.now());
     }
     if (!durable.empty()) observer_.onAllocationsDurable(durable);
     if (result != CommitResult::committed) return;
--- a/src/coordination/migration/work_migrator.cpp
+++ b/src/coordination/migration/work_migrator.cpp
@@ -324,8 +324,8 @@
             // Apply it as a record event with its revision: by now the job may have migrated
             // again or ended.
             if (result == CommitResult::committed)
-                storage::applyEvent(*context_.clusterState.lock(), {key, value, revision},
-                                    context_.now());
+                storage::applyAnswer(*context_.clusterState.lock(), {key, value, revision},
+                                     context_.now());
             finishMigration(requestId, target, result == CommitResult::committed);
         });
 }
--- a/src/coordination/replication/slice_writer.cpp
+++ b/src/coordination/replication/slice_writer.cpp
@@ -117,7 +117,7 @@
         // (tests ConcurrentDivisionsOfOneJobKeepEachTaskInOneSlice and
         // DivisionBetweenSnapshotPagesKeepsEachTaskInOneSlice).
         for (const auto& write : written.writes)
-            storage::applyEvent(clusterState, {write.key, write.value, revision}, context_.now());
+            storage::applyAnswer(clusterState, {write.key, write.value, revision}, context_.now());
         return;
     }
     auto pieces = storage::cutSlice(slice, written.cuts, written.nextIndex);
--- a/src/coordination/replication/state_writer.cpp
+++ b/src/coordination/replication/state_writer.cpp
@@ -277,8 +277,8 @@
         auto clusterState = context_.clusterState.lock();
         if (result == CommitResult::committed)
             for (const auto& write : batch.cancellations)
-                storage::applyEvent(*clusterState, {write.key, write.value, revision},
-                                    context_.now());
+                storage::applyAnswer(*clusterState, {write.key, write.value, revision},
+                                     context_.now());
         applyTerminals(*clusterState, batch, result);
         machines = writer_.applyOutcome(*clusterState, batch, result, revision);
     }
--- a/src/coordination/replication/transaction_pipeline.cpp
+++ b/src/coordination/replication/transaction_pipeline.cpp
@@ -179,12 +179,12 @@
 void TransactionPipeline::refreshClusterState(const RecordReads& reads) {
     auto clusterState = context_.clusterState.lock();
     for (const auto& item : reads.items)
-        storage::applyEvent(*clusterState, {item.key, item.value, item.version}, context_.now());
+        storage::applyAnswer(*clusterState, {item.key, item.value, item.version}, context_.now());
     // The watch does not apply events of keys that are in flight, so deletions must be applied
     // here. Otherwise a job that has ended would stay in the cluster state for ever, and every
     // later write for that job would fail.
     for (const auto& [key, asOf] : reads.absent)
-        storage::applyEvent(*clusterState, {key, std::nullopt, asOf}, context_.now());
+        storage::applyAnswer(*clusterState, {key, std::nullopt, asOf}, context_.now());
 }
 
 void TransactionPipeline::onRecordsRead(PartitionId partition, const RecordReads& reads) {
--- a/src/coordination/scheduling/quota_exchange.cpp
+++ b/src/coordination/scheduling/quota_exchange.cpp
@@ -119,8 +119,8 @@
 void QuotaExchange::finishTransfer(ClusterState& clusterState, const QuotaTransfer& transfer,
                                    CommitResult result, std::uint64_t revision) {
     if (result == CommitResult::committed)
-        storage::applyEvent(clusterState, {transfer.change.key, transfer.change.value, revision},
-                            context_.now());
+        storage::applyAnswer(clusterState, {transfer.change.key, transfer.change.value, revision},
+                             context_.now());
     clusterState.outgoingQuotas.erase(transfer.team);
 }
 
--- a/src/storage/record_replay.cpp
+++ b/src/storage/record_replay.cpp
@@ -1,5 +1,7 @@
 #include "storage/record_replay.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 #include "storage/record_codec.h"
@@ -171,6 +173,24 @@
     clusterState.termVersion = event.version;
 }
 
+/// Whether the cluster state holds the record, or holds what it belongs to. Records of other kinds
+/// are never deleted.
+bool isHeld(ClusterState& clusterState, const std::string& key) {
+    const auto [kind, name] = parseKey(key);
+    switch (kind) {
+        case RecordKind::job:
+            return clusterState.job(name) != nullptr;
+        case RecordKind::slice:
+            return clusterState.job(name.substr(0, name.rfind('/'))) != nullptr;
+        case RecordKind::machine:
+            return clusterState.machine(name) != nullptr;
+        case RecordKind::node:
+            return clusterState.nodes.contains(name);
+        default:
+            return true;
+    }
+}
+
 }  // namespace
 
 void recordCancellation(ClusterState& clusterState, const protocol::Event& event) {
@@ -222,4 +242,14 @@
     }
 }
 
+void applyAnswer(ClusterState& clusterState, const protocol::Event& event, SteadyTime now) {
+    const bool watched = event.version <= clusterState.appliedRevision;
+    if (event.value && watched && !isHeld(clusterState, event.key)) {
+        spdlog::debug("replica: outdated_answer_ignored key={} revision={} applied_revision={}",
+                      event.key, event.version, clusterState.appliedRevision);
+        return;
+    }
+    applyEvent(clusterState, event, now);
+}
+
 }  // namespace fawnwheel::storage
--- a/tests/sim/scenario_actions.cpp
+++ b/tests/sim/scenario_actions.cpp
@@ -115,6 +115,10 @@
                         const ScenarioLine& line) { simulation.completeJob(line.at(3)); }},
         {"get-status", [](Simulation& simulation,
                           const ScenarioLine& line) { simulation.getStatus(line.at(3)); }},
+        {"ask-all-nodes",
+         [](Simulation& simulation, const ScenarioLine& line) {
+             simulation.askAllNodes(timeAt(line, 4));
+         }},
         {"poll-storm",
          [](Simulation& simulation, const ScenarioLine& line) {
              simulation.pollStorm(line.numberAt(3), timeAt(line, 5));
@@ -183,6 +187,13 @@
          [](Simulation& simulation, const ScenarioLine& line) {
              simulation.slowStateService(timeAt(line, 3), timeAt(line, 5));
          }},
+        {"late-answers",
+         [](Simulation& simulation, const ScenarioLine& line) {
+             const auto kind = line.at(4) == "watch" ? Simulation::StateAnswer::watch
+                                                     : Simulation::StateAnswer::read;
+             simulation.delayStateAnswers(nodeAt(line, 3), kind, Time(line.number("by")),
+                                          Time(line.number("for")));
+         }},
         {"random-troubles",
          [](Simulation& simulation, const ScenarioLine& line) {
              simulation.injectRandomFaults(countAt(line, 3), timeAt(line, 5));
--- a/tests/sim/simulation.cpp
+++ b/tests/sim/simulation.cpp
@@ -199,19 +199,37 @@
                serve(from, address, request, [](const HttpResponse&) {});
            });
     deliver(from, address, [this, from, address, request = std::move(request), finish] {
-        serve(from, address, request, [this, from, address, finish](HttpResponse response) {
+        const auto late = address == "state" ? answerDelay(from, request.path) : Time(0);
+        serve(from, address, request, [this, from, address, late, finish](HttpResponse response) {
             history_.add(now_, "response",
                          {address, from, std::to_string(response.status), response.body});
             if (std::uniform_real_distribution<>(0, 1)(rng_) < lostResponseFraction_) return;
-            deliver(address, from,
-                    [this, finish, generatedAt = now_, response = std::move(response)] {
-                        responseGeneratedAt_ = generatedAt;
-                        finish(response);
-                    });
+            auto arrive = [this, finish, generatedAt = now_, response = std::move(response)] {
+                responseGeneratedAt_ = generatedAt;
+                finish(response);
+            };
+            if (late == Time(0)) return deliver(address, from, std::move(arrive));
+            at(now_ + late, [this, address, from, arrive = std::move(arrive)] {
+                deliver(address, from, arrive);
+            });
         });
     });
 }
 
+void Simulation::delayStateAnswers(int node, StateAnswer kind, Time late, Time length) {
+    answerDelays_[{nodes_[static_cast<std::size_t>(node)]->name, kind}] = {now_ + length, late};
+    checker_.faultsUntil(now_ + length + late);
+}
+
+Time Simulation::answerDelay(const std::string& node, const std::string& path) const {
+    const bool isWatch = path.starts_with(wire::pathWatch);
+    const bool isRead = path.starts_with(std::string(wire::pathKeys) + "/");
+    if (!isWatch && !isRead) return Time(0);
+    const auto found = answerDelays_.find({node, isWatch ? StateAnswer::watch : StateAnswer::read});
+    return found == answerDelays_.end() || now_ >= found->second.until ? Time(0)
+                                                                       : found->second.late;
+}
+
 void Simulation::serve(const std::string& from, const std::string& host, const HttpRequest& request,
                        HttpReply reply) {
     if (host == "state") return serveState(from, request, reply);
--- a/tests/sim/simulation.h
+++ b/tests/sim/simulation.h
@@ -133,6 +133,7 @@
                        std::function<void(int status, std::uint64_t fencingToken)> done);
     void cancel(const std::string& job);
     void getStatus(const std::string& job);
+    void getStatus(const std::string& job, int node);
 
     // Fault injection
     void kill(int node, Time down);
@@ -201,6 +202,10 @@
         stateSlowUntil_ = now_ + length;
         checker_.faultsUntil(stateSlowUntil_);
     }
+    // Answers of the state service to the node's requests take `late` longer: those to watches, or
+    // those to reads of single records.
+    enum class StateAnswer { watch, read };
+    void delayStateAnswers(int node, StateAnswer kind, Time late, Time length);
     // Commands reach the machine, but its heartbeats are lost.
     void dropUpstream(std::size_t machine, Time length);
     // Messages to and from the machine take up to `most` longer.
@@ -214,6 +219,8 @@
     }
     // The tasks of the job complete.
     void completeJob(const std::string& job) { simulatedJobs_[job].runs = Time(0); }
+    // Users ask all nodes within milliseconds after a job was accepted.
+    void askAllNodes(Time length) { allNodesAskedUntil_ = now_ + length; }
     // Users poll `factor` times as often.
     void pollStorm(double factor, Time length) {
         stormFactor_ = factor;
@@ -359,6 +366,8 @@
     void killAllTasks(Worker& worker);
     [[nodiscard]] protocol::Json heartbeatBody(Worker& worker) const;
     void stepGang(const std::string& job);
+    // How much longer the answer to a node's request to the state service takes.
+    [[nodiscard]] Time answerDelay(const std::string& node, const std::string& path) const;
     void poll(const std::string& job);
     void recordStatus(const std::string& job, const std::string& state);
     void submitOnceDependenciesAccepted(const std::string& job);
@@ -420,6 +429,12 @@
     double cancelAtEndFraction_ = 0;
     Time cancelAtEndUntil_{};
     Time irregularRequestsUntil_{};
+    struct AnswerDelay {
+        Time until{};
+        Time late{};
+    };
+    std::map<std::pair<std::string, StateAnswer>, AnswerDelay> answerDelays_;
+    Time allNodesAskedUntil_{};
     double stormFactor_ = 1;
     Time stormUntil_{};
     int invalidJobCount_ = 0;
--- a/tests/sim/simulation_users.cpp
+++ b/tests/sim/simulation_users.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Time pollPeriod{5.0};
+constexpr Time maxAskDelay{0.02};      // of a question to all nodes
 constexpr Time acceptancePause{0.05};  // between checks whether the dependencies have been accepted
 
 }  // namespace
@@ -72,7 +73,12 @@
 
 void Simulation::recordStatus(const std::string& id, const std::string& state) {
     simulatedJobs_[id].reportedState = state;
+    const bool isFirst = simulatedJobs_[id].firstReportedAt.empty();
     simulatedJobs_[id].firstReportedAt.try_emplace(state, now_);
+    if (isFirst && now_ < allNodesAskedUntil_)
+        for (int node = 0; node < spec_.nodes; ++node)
+            at(now_ + maxAskDelay * std::uniform_real_distribution<>(0, 1)(rng_),
+               [this, id, node] { getStatus(id, node); });
     checker_.statusReported(id, state, now_, responseGeneratedAt_);
 }
 
@@ -102,7 +108,11 @@
 }
 
 void Simulation::getStatus(const std::string& id) {
-    request("users", nodes_[static_cast<std::size_t>(randomNode())]->name,
+    getStatus(id, randomNode());
+}
+
+void Simulation::getStatus(const std::string& id, int node) {
+    request("users", nodes_[static_cast<std::size_t>(node)]->name,
             {"GET", std::string(wire::pathJobs) + "/" + id, {}}, Time(2),
             [this, id](const std::optional<HttpResponse>& response) {
                 if (response && response->status == 404) return checker_.reportedUnknown(id);
--- a/tests/unit/coordination/membership/membership_test.cpp
+++ b/tests/unit/coordination/membership/membership_test.cpp
@@ -70,6 +70,43 @@
     EXPECT_EQ(std::count(acquired.begin(), acquired.end(), 0U), 2);
 }
 
+// Guards against a node that takes itself for a partition's leader by an answer that arrives after
+// the watch has delivered the next leader's acquisition.
+TEST_F(MembershipTest, LateAnswerToAnAcquisitionDoesNotReplaceANewerRecord) {
+    loadRecords();
+    membership.start();
+    const auto isAcquisition = [](const ManualStateService::Request& request) {
+        return request.isTransaction() &&
+               request.request.body.find(storage::keys::partition(0)) != std::string::npos &&
+               request.request.body.find(storage::keys::term) != std::string::npos;
+    };
+    std::optional<ManualStateService::Request> acquisition;
+    std::optional<transport::HttpResponse> answer;
+    for (int round = 0; round < 100 && !acquisition; ++round) {
+        timers.advance(20ms);
+        for (const auto& request : std::exchange(state.pending, {})) {
+            if (acquisition || !isAcquisition(request)) {
+                state.serve(request);
+                continue;
+            }
+            acquisition = request;
+            answer = state.execute(request.request);
+        }
+        loadRecords();
+        membership.reconcile();
+    }
+    ASSERT_TRUE(acquisition);
+    ASSERT_EQ(answer->status, 200);
+    putPartition(0, "node-1", 50);
+    loadRecords();
+    const auto newest = context.clusterState.lock()->partitions[0].version;
+    acquisition->done(answer);
+    const auto partition = context.clusterState.lock()->partitions[0];
+    EXPECT_EQ(partition.leader, "node-1");
+    EXPECT_EQ(partition.version, newest);
+    EXPECT_FALSE(membership.isLeader(0));
+}
+
 class ShortCancelLimitTest : public MembershipTest {
   protected:
     ShortCancelLimitTest() {
--- a/tests/unit/storage/records_test.cpp
+++ b/tests/unit/storage/records_test.cpp
@@ -339,5 +339,55 @@
     EXPECT_EQ(clusterState.machine("m-1")->used.cpus, 0);
 }
 
+// Guards against records that come back for ever: the answer to a read arrives after the watch has
+// delivered the deletion of what was read, and no later event removes it again.
+TEST_F(RecordsTest, LateAnswerDoesNotReviveDeletedRecords) {
+    const Job job = makeJob(4);
+    putMachine("m-1", 3);
+    put(keys::node("node-1"), Json::object(), 4);
+    put(keys::job("run-1"), jobValue(job), 5);
+    put(keys::slice("run-1", 0), sliceValue(job.slices[0]), 6);
+    drop(keys::job("run-1"), 10);
+    drop(keys::slice("run-1", 0), 10);
+    drop(keys::machine("m-1"), 11);
+    drop(keys::node("node-1"), 12);
+    clusterState.appliedRevision = 12;
+    Machine machine;
+    machine.type = "small";
+    machine.zone = "a";
+    machine.partition = 1;
+    applyAnswer(clusterState, {keys::job("run-1"), jobValue(job), 5}, {});
+    applyAnswer(clusterState, {keys::slice("run-1", 0), sliceValue(job.slices[0]), 6}, {});
+    applyAnswer(clusterState, {keys::machine("m-1"), machineValue(machine), 3}, {});
+    applyAnswer(clusterState, {keys::node("node-1"), Json::object(), 4}, {});
+    EXPECT_EQ(clusterState.job("run-1"), nullptr);
+    EXPECT_TRUE(clusterState.orphanedRecords.empty());
+    EXPECT_EQ(clusterState.machine("m-1"), nullptr);
+    EXPECT_FALSE(clusterState.nodes.contains("node-1"));
+}
+
+// An answer may also be ahead of the watch, and then counts at once, until the watch has delivered
+// what follows.
+TEST_F(RecordsTest, AnswerAheadOfTheWatchIsApplied) {
+    Job job = makeJob(4);
+    put(keys::node("node-1"), Json::object(), 4);
+    drop(keys::node("node-1"), 6);
+    clusterState.appliedRevision = 7;
+    applyAnswer(clusterState, {keys::job("run-1"), jobValue(job), 8}, {});
+    applyAnswer(clusterState, {keys::node("node-1"), Json::object(), 9}, {});
+    ASSERT_NE(clusterState.job("run-1"), nullptr);
+    EXPECT_TRUE(clusterState.nodes.contains("node-1"));
+    // Read as absent before it was created: the record stays.
+    applyAnswer(clusterState, {keys::job("run-1"), std::nullopt, 7}, {});
+    EXPECT_NE(clusterState.job("run-1"), nullptr);
+    job.cancelled = true;
+    clusterState.appliedRevision = 12;
+    // Held back from the watch's events because its key was in flight.
+    applyAnswer(clusterState, {keys::job("run-1"), jobValue(job), 11}, {});
+    EXPECT_TRUE(clusterState.job("run-1")->cancelled);
+    applyAnswer(clusterState, {keys::job("run-1"), std::nullopt, 13}, {});
+    EXPECT_EQ(clusterState.job("run-1"), nullptr);
+}
+
 }  // namespace
 }  // namespace fawnwheel::storage
