Scenarios in which copies of commands arrive once more

Cause: on a service of the kind a copy of a start, carried out and answered before, ran a task twice after a controller or a machine had come back within a second.

Change: the simulation delivers direct commands again (at once, seconds and more than a lease later, after their task has started elsewhere, after its job's cancellation has to be complete), and restarts machines within a second with the agent epoch and the token of before or others.

--- a/tests/sim/scenario_actions.cpp
+++ b/tests/sim/scenario_actions.cpp
@@ -243,6 +243,10 @@
          [](Simulation& simulation, const ScenarioLine& line) {
              simulation.repeatRequests(line.numberAt(3), timeAt(line, 4));
          }},
+        {"repeat-commands",
+         [](Simulation& simulation, const ScenarioLine& line) {
+             simulation.repeatCommands(timeAt(line, 4));
+         }},
         {"replay-exits",
          [](Simulation& simulation, const ScenarioLine& line) {
              simulation.replayExitsAtNextLeader(Time(line.number("silence")),
@@ -263,6 +267,11 @@
          [](Simulation& simulation, const ScenarioLine& line) {
              simulation.hangMachine(machineAt(line, 3), timeAt(line, 5));
          }},
+        {"restart",
+         [](Simulation& simulation, const ScenarioLine& line) {
+             simulation.restartMachine(machineAt(line, 3), timeAt(line, 5),
+                                       {line.has("same-epoch"), line.has("same-token")});
+         }},
         {"die", [](Simulation& simulation,
                    const ScenarioLine& line) { simulation.failMachine(machineAt(line, 3)); }},
         {"interruption-notice",
--- a/tests/sim/simulation.cpp
+++ b/tests/sim/simulation.cpp
@@ -253,25 +253,8 @@
            [this, from, host, request, reply] { serve(from, host, request, reply); });
         return;
     }
-    if (request.path == wire::pathInspect) {
-        ++target->sequence;
-        return reply(answer(200, heartbeatBody(*target)));
-    }
-    const auto body = protocol::decodeCbor(request.body);
-    const auto fencingToken = body ? protocol::countOf(*body, wire::fencingToken) : 0;
-    const auto agentEpoch = body ? protocol::countOf(*body, wire::agentEpoch) : 0;
-    if (fencingToken < target->fencingToken || agentEpoch != target->agentEpoch)
-        return reply(answer(409, heartbeatBody(*target)));
-    // A worker heartbeats at once when its token rises, at most once in half a lease.
-    if (fencingToken > target->fencingToken &&
-        now_ - target->fencingTokenReportedAt > spec_.lease / 2) {
-        target->fencingTokenReportedAt = now_;
-        scheduleHeartbeat(*target);
-    }
-    target->fencingToken = fencingToken;
-    executeCommands(*target, protocol::listOf(*body, wire::commands));
-    ++target->sequence;
-    reply(answer(200, heartbeatBody(*target)));
+    if (now_ < commandsRepeatedUntil_) repeatCommand(*target, request);
+    serveWorker(*target, request, reply);
 }
 
 void Simulation::dropDownstream(std::size_t machine, Time length) {
--- a/tests/sim/simulation.h
+++ b/tests/sim/simulation.h
@@ -175,6 +175,16 @@
         repeatedFraction_ = fraction;
         maxRepeatDelay_ = latest;
     }
+    // Each direct command that a worker has executed and answered is delivered again: at once,
+    // seconds later, longer than a lease later, whenever a task that it starts has started on
+    // another machine, and once the tasks of a cancelled job have to be gone.
+    void repeatCommands(Time length) { commandsRepeatedUntil_ = now_ + length; }
+    // What a worker still has when its machine is up again after a restart. Its tasks are gone.
+    struct Restart {
+        bool sameEpoch = false;
+        bool sameToken = false;
+    };
+    void restartMachine(std::size_t machine, Time down, Restart restart);
     // Writes a record as another version of the controllers might have.
     void putRecord(const std::string& key, const protocol::Json& value);
     // The record's value; null if there is none.
@@ -345,6 +355,14 @@
     void replayExitHeartbeats(Worker& worker);
     // Called before a transaction's writes are executed.
     void observeLeaderChanges(const protocol::Json& writes);
+    void serveWorker(Worker& worker, const transport::HttpRequest& request,
+                     const transport::HttpReply& reply);
+    void repeatCommand(Worker& worker, const transport::HttpRequest& request);
+    void repeatCommandAfter(Time delay, const std::string& worker,
+                            const transport::HttpRequest& request);
+    // Repeats direct commands to other machines that start the task.
+    void repeatStarts(const std::string& machine, const std::string& task);
+    void repeatStartsOfCancelled(const std::string& job);
     void executeCommands(Worker& worker, const protocol::Json& commands);
     void stepWorker(Worker& worker);
     void checkWaitingJobs();
@@ -407,6 +425,7 @@
     double lostResponseFraction_ = 0;
     double duplicatedFraction_ = 0;
     Time maxDuplicateDelay_{};
+    Time commandsRepeatedUntil_{};
     Time exitSilence_{};
     Time exitsReplayedUntil_{};
     double repeatedFraction_ = 0;
--- a/tests/sim/simulation_internal.h
+++ b/tests/sim/simulation_internal.h
@@ -156,6 +156,8 @@
     std::vector<Task> tasks;
     // The last heartbeat that showed an exited task, by the cause of the exit, with its sequence.
     std::map<std::string, std::pair<std::uint64_t, HttpRequest>> exitHeartbeats;
+    // The last direct command that starts the task, by task.
+    std::map<std::string, HttpRequest> directStarts;
     std::optional<Time> answeredAt;
     // How long the link to a node is cut after its next accepted response.
     std::map<std::string, Time> cutsAfterResponse;
--- a/tests/sim/simulation_users.cpp
+++ b/tests/sim/simulation_users.cpp
@@ -74,7 +74,8 @@
 void Simulation::recordStatus(const std::string& id, const std::string& state) {
     simulatedJobs_[id].reportedState = state;
     const bool isFirst = simulatedJobs_[id].firstReportedAt.empty();
-    simulatedJobs_[id].firstReportedAt.try_emplace(state, now_);
+    const bool isNewState = simulatedJobs_[id].firstReportedAt.try_emplace(state, now_).second;
+    if (isNewState && state == wire::stateCancelled) repeatStartsOfCancelled(id);
     if (isFirst && now_ < allNodesAskedUntil_)
         for (int node = 0; node < spec_.nodes; ++node)
             at(now_ + maxAskDelay * std::uniform_real_distribution<>(0, 1)(rng_),
--- a/tests/sim/simulation_workers.cpp
+++ b/tests/sim/simulation_workers.cpp
@@ -13,6 +13,12 @@
 constexpr Time heartbeatInterval{3.0};
 constexpr Time minHeartbeatGap{0.5};
 constexpr Time heartbeatTimeout{4.0};
+// When a command is repeated longer than a lease later.
+constexpr double minRepeatedLeases = 1.2;
+constexpr double maxRepeatedLeases = 2.5;
+constexpr Time repeatAfterCancelLimit{2};
+// When a start is repeated after its task has started elsewhere.
+constexpr std::array repeatsAfterStart{Time(0.3), Time(3), Time(8)};
 // After a partition's leader has changed.
 constexpr std::array replayDelays{Time(0.2), Time(0.6), Time(1.5)};
 
@@ -99,7 +105,7 @@
 }
 
 void Simulation::sendHeartbeat(Worker& w) {
-    if (w.terminated || w.heartbeatInFlight) return;
+    if (w.terminated || !w.up || w.heartbeatInFlight) return;
     if (w.hangsUntil > now_) {
         at(w.hangsUntil, [this, id = w.id] { sendHeartbeat(*worker(id)); });
         return;
@@ -214,6 +220,66 @@
     w.transferredAt.reset();
 }
 
+void Simulation::serveWorker(Worker& w, const HttpRequest& request, const HttpReply& reply) {
+    if (request.path == wire::pathInspect) {
+        ++w.sequence;
+        return reply(answer(200, heartbeatBody(w)));
+    }
+    const auto body = protocol::decodeCbor(request.body);
+    const auto fencingToken = body ? protocol::countOf(*body, wire::fencingToken) : 0;
+    const auto agentEpoch = body ? protocol::countOf(*body, wire::agentEpoch) : 0;
+    if (fencingToken < w.fencingToken || agentEpoch != w.agentEpoch)
+        return reply(answer(409, heartbeatBody(w)));
+    // A worker heartbeats at once when its token rises, at most once in half a lease.
+    if (fencingToken > w.fencingToken && now_ - w.fencingTokenReportedAt > spec_.lease / 2) {
+        w.fencingTokenReportedAt = now_;
+        scheduleHeartbeat(w);
+    }
+    w.fencingToken = fencingToken;
+    executeCommands(w, protocol::listOf(*body, wire::commands));
+    ++w.sequence;
+    reply(answer(200, heartbeatBody(w)));
+}
+
+void Simulation::repeatCommandAfter(Time delay, const std::string& id, const HttpRequest& request) {
+    at(now_ + delay, [this, id, request] {
+        Worker& target = *worker(id);
+        if (!target.up || target.terminated || target.hangsUntil > now_) return;
+        serveWorker(target, request, [](const HttpResponse&) {});
+    });
+}
+
+void Simulation::repeatStarts(const std::string& machine, const std::string& task) {
+    if (now_ >= commandsRepeatedUntil_) return;
+    for (const auto& [id, other] : workers_)
+        if (const auto start = other->directStarts.find(task);
+            id != machine && start != other->directStarts.end())
+            for (const Time delay : repeatsAfterStart) repeatCommandAfter(delay, id, start->second);
+}
+
+void Simulation::repeatStartsOfCancelled(const std::string& job) {
+    if (now_ >= commandsRepeatedUntil_) return;
+    for (const auto& [id, w] : workers_)
+        for (const auto& [task, start] : w->directStarts)
+            if (task.starts_with(job + "/"))
+                repeatCommandAfter(spec_.cancel + repeatAfterCancelLimit, id, start);
+}
+
+void Simulation::repeatCommand(Worker& w, const HttpRequest& request) {
+    const auto body = protocol::decodeCbor(request.body);
+    if (!body) return;
+    for (const auto& command : protocol::listOf(*body, wire::commands))
+        if (protocol::textOf(command, wire::command) == wire::commandStart)
+            w.directStarts[protocol::textOf(command, wire::task)] = request;
+    const auto between = [this](Time least, Time most) {
+        return Time(std::uniform_real_distribution<>(least.count(), most.count())(rng_));
+    };
+    for (const Time delay :
+         {between(Time(0.001), Time(0.5)), between(Time(1), Time(10)),
+          between(spec_.lease * minRepeatedLeases, spec_.lease * maxRepeatedLeases)})
+        repeatCommandAfter(delay, w.id, request);
+}
+
 void Simulation::executeCommands(Worker& w, const Json& commands) {
     for (const auto& command : commands) {
         const auto op = protocol::textOf(command, wire::command);
@@ -326,6 +392,7 @@
                 w.images.push_back(simulatedJob.spec.image);
             task.placed = true;
             checker_.started(task.job, task.index, {w.id, w.type, w.zone, w.spot}, now_);
+            repeatStarts(w.id, task.job + "/" + std::to_string(task.index));
             task.state = gang ? wire::stateWaiting : wire::stateRunning;
             task.waitingSince = now_;
             task.progress = simulatedJob.saved[task.index];
@@ -415,6 +482,26 @@
     w.terminated = true;
 }
 
+void Simulation::restartMachine(std::size_t machine, Time down, Restart restart) {
+    Worker& w = nth(workers_, machine);
+    if (w.terminated || !w.up) return;
+    killAllTasks(w);
+    w.up = false;
+    // The response to a heartbeat in flight finds nobody.
+    ++w.heartbeatNumber;
+    w.heartbeatInFlight = false;
+    if (!restart.sameEpoch) ++w.agentEpoch;
+    if (!restart.sameToken) w.fencingToken = 0;
+    checker_.faultsUntil(now_ + down);
+    at(now_ + down, [this, id = w.id] {
+        Worker& target = *worker(id);
+        if (target.terminated) return;
+        target.up = true;
+        target.leaseRenewedAt = now_;
+        scheduleHeartbeat(target);
+    });
+}
+
 void Simulation::sendInterruptionNotice(std::size_t machine, Time left) {
     Worker& w = nth(workers_, machine);
     w.interruptionAt = now_ + left;
