--- a/tests/unit/coordination/replication/replication_fixture.h
+++ b/tests/unit/coordination/replication/replication_fixture.h
@@ -85,6 +85,16 @@
             storage::applyEvent(*clusterState, {key, record.value, record.version}, context.now());
         clusterState->appliedRevision = state.revision;
     }
+    /// Starts a resync and executes its first read. The caller delivers the response.
+    std::pair<ManualStateService::Request, transport::HttpResponse> executeFirstPageOfResync() {
+        replica.resync();
+        timers.advance(std::chrono::milliseconds(20));
+        EXPECT_EQ(state.pending.size(), 1U);
+        auto page = state.pending.front();
+        state.pending.clear();
+        auto response = state.execute(page.request);
+        return {std::move(page), std::move(response)};
+    }
     /// Serves all pending requests in 200 rounds, so that requests sent in response are served too.
     /// Watches are served only in the first half of the rounds, because each response to a watch
     /// causes the next watch.
--- a/tests/unit/coordination/replication/state_writer_test.cpp
+++ b/tests/unit/coordination/replication/state_writer_test.cpp
@@ -186,12 +186,7 @@
     putJob(made);
     putSlice(made, made.slices[0]);
     loadRecords();
-    replica.resync();
-    timers.advance(std::chrono::milliseconds(20));
-    ASSERT_EQ(state.pending.size(), 1U);
-    const auto page = state.pending.front();
-    state.pending.clear();
-    const auto outdated = state.execute(page.request);
+    const auto [page, outdated] = executeFirstPageOfResync();
     {
         auto clusterState = context.clusterState.lock();
         Job& known = *clusterState->job("run-1");
@@ -214,12 +209,7 @@
 TEST_F(ReplicationTest, ResyncIsCompleteOnlyOnceItHasReachedEveryKnownRevision) {
     putJob(makeJob(4, 4));
     loadRecords();
-    replica.resync();
-    timers.advance(std::chrono::milliseconds(20));
-    ASSERT_EQ(state.pending.size(), 1U);
-    const auto page = state.pending.front();
-    state.pending.clear();
-    const auto outdated = state.execute(page.request);
+    const auto [page, outdated] = executeFirstPageOfResync();
     putPartition(1, "node-1", 2);
     const auto& latest = state.records.at(partition(1));
     storage::applyEvent(*context.clusterState.lock(), {partition(1), latest.value, latest.version},
